--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,115 @@
+//! Talks to a daemon's operator port.
+
+use crate::error::CliError;
+use async_io::block_on;
+use http_types::Method;
+use pomeloreach_core::api::{AnnouncementAnswer, EditAnswer, ErrorAnswer, StatusAnswer};
+use pomeloreach_core::code::ResultCode;
+use pomeloreach_core::config::Config;
+use pomeloreach_core::edit::{Change, EditRequest};
+use pomeloreach_wire::http::{self, HttpError, WholeResponse};
+use rand_core::{OsRng, TryRngCore};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// How long a daemon may take, in milliseconds.
+const TIMEOUT_MS: u64 = 20_000;
+/// The largest answer that is read, in bytes.
+const ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
+
+/// A daemon that is asked.
+#[derive(Clone, Copy, Debug)]
+pub struct Client {
+    pub addr: SocketAddr,
+}
+
+impl Client {
+    pub fn config(&self) -> Result<Config, CliError> {
+        self.get("/config")
+    }
+
+    pub fn status(&self) -> Result<StatusAnswer, CliError> {
+        self.get("/status")
+    }
+
+    pub fn dump(&self) -> Result<Value, CliError> {
+        self.get("/dump")
+    }
+
+    pub fn drain(&self) -> Result<AnnouncementAnswer, CliError> {
+        self.read(self.send(Method::Post, "/drain", Vec::new())?)
+    }
+
+    /// Publishes changes and returns the answer if they are in force.
+    pub fn edit(
+        &self,
+        changes: Vec<Change>,
+        edit_id: Option<String>,
+    ) -> Result<EditAnswer, CliError> {
+        let edit_id = edit_id.unwrap_or_else(new_edit_id);
+        let request =
+            EditRequest { edit_id: edit_id.as_str().into(), author: author().into(), changes };
+        let body = serde_json::to_vec(&request).expect("an edit is always encodable");
+        let unknown = |reason: String| CliError::Unknown { reason, edit_id: edit_id.clone() };
+        let response = match self.exchange(Method::Post, "/edits", body) {
+            Ok(response) => response,
+            Err(source @ HttpError::Connect(_)) => {
+                return Err(CliError::Daemon { addr: self.addr, source });
+            }
+            Err(error) => return Err(unknown(error.to_string())),
+        };
+        let Ok(answer) = response.json::<EditAnswer>() else {
+            return Err(self.refusal(&response));
+        };
+        match answer.code {
+            ResultCode::EditAccepted | ResultCode::EditUnchanged => Ok(answer),
+            ResultCode::EditUnknown | ResultCode::TimedOut => Err(unknown(answer.reason)),
+            _ => Err(CliError::NotAccepted(answer)),
+        }
+    }
+
+    fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, CliError> {
+        self.read(self.send(Method::Get, path, Vec::new())?)
+    }
+
+    fn send(&self, method: Method, path: &str, body: Vec<u8>) -> Result<WholeResponse, CliError> {
+        self.exchange(method, path, body)
+            .map_err(|source| CliError::Daemon { addr: self.addr, source })
+    }
+
+    fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<WholeResponse, HttpError> {
+        let request = http::request(method, self.addr, path)?;
+        block_on(http::call(self.addr, request, body, ANSWER_BYTES_MAX, TIMEOUT_MS))
+    }
+
+    fn read<T: DeserializeOwned>(&self, response: WholeResponse) -> Result<T, CliError> {
+        if response.status != 200 {
+            return Err(self.refusal(&response));
+        }
+        response
+            .json()
+            .map_err(|error| CliError::Answer { addr: self.addr, reason: error.to_string() })
+    }
+
+    fn refusal(&self, response: &WholeResponse) -> CliError {
+        match response.json::<ErrorAnswer>() {
+            Ok(answer) => CliError::Refused(answer),
+            Err(error) => CliError::Answer { addr: self.addr, reason: error.to_string() },
+        }
+    }
+}
+
+fn new_edit_id() -> String {
+    let random = OsRng.try_next_u64().expect("the system gives random numbers");
+    format!("edit-{random:016x}")
+}
+
+fn author() -> String {
+    std::env::var("USER").ok().filter(|user| !user.is_empty()).unwrap_or_else(|| "unknown".into())
+}
--- /dev/null
+++ b/crates/cli/src/cmd/check.rs
@@ -0,0 +1,26 @@
+//! `pomeloreach check`.
+
+use crate::error::CliError;
+use crate::print;
+use crate::tables::{check_file, read_files};
+use argh::FromArgs;
+use std::path::PathBuf;
+
+/// Check table files by themselves, without asking any daemon.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct Check {
+    /// YAML files that together hold both tables
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+}
+
+impl Check {
+    pub fn run(self) -> Result<(), CliError> {
+        let file = read_files(&self.files)?;
+        check_file(&file)?;
+        let routes = file.routes.map_or(0, |rows| rows.len());
+        let pools = file.pools.map_or(0, |rows| rows.len());
+        print::text(&format!("{routes} routes and {pools} pools are valid.\n"))
+    }
+}
--- /dev/null
+++ b/crates/cli/src/cmd/history.rs
@@ -0,0 +1,21 @@
+//! `pomeloreach history`.
+
+use crate::client::Client;
+use crate::error::CliError;
+use crate::print;
+use argh::FromArgs;
+
+/// Show recent versions: who made them, and which were refused and why.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "history")]
+pub struct History {}
+
+impl History {
+    pub fn run(self, client: Client, as_json: bool) -> Result<(), CliError> {
+        let config = client.config()?;
+        if as_json {
+            return print::json(&(&config.edits, &config.refusals));
+        }
+        print::text(&print::history(&config))
+    }
+}
--- /dev/null
+++ b/crates/cli/src/cmd/mod.rs
@@ -0,0 +1,69 @@
+//! The operators' command line.
+
+mod apply;
+mod check;
+mod diff;
+mod drain;
+mod dump;
+mod history;
+mod pools;
+mod routes;
+mod status;
+
+use crate::client::Client;
+use crate::error::CliError;
+use argh::FromArgs;
+use std::net::SocketAddr;
+
+/// The operator port that is asked when no other is named.
+const DEFAULT_DAEMON: &str = "127.0.0.1:7402";
+
+/// Edit pomeloreach's two tables, routes and pools, and read back what is in force. Every daemon
+/// gives the same answers. Exit codes: 0 done, 1 cannot be asked, 2 bad input, 3 refused,
+/// 4 conflict with another edit, 5 outcome unknown, 6 not in force everywhere.
+#[derive(FromArgs)]
+pub struct Operator {
+    /// the operator port of any daemon (default: 127.0.0.1:7402)
+    #[argh(option, short = 'd', default = "default_daemon()")]
+    daemon: SocketAddr,
+    /// print JSON for programs
+    #[argh(switch)]
+    json: bool,
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Routes(routes::Routes),
+    Pools(pools::Pools),
+    Apply(apply::Apply),
+    Diff(diff::Diff),
+    Check(check::Check),
+    Status(status::Status),
+    History(history::History),
+    Dump(dump::Dump),
+    Drain(drain::Drain),
+}
+
+impl Operator {
+    pub fn run(self) -> Result<(), CliError> {
+        let client = Client { addr: self.daemon };
+        match self.command {
+            Command::Routes(command) => command.run(client, self.json),
+            Command::Pools(command) => command.run(client, self.json),
+            Command::Apply(command) => command.run(client, self.json),
+            Command::Diff(command) => command.run(client, self.json),
+            Command::Check(command) => command.run(),
+            Command::Status(command) => command.run(client, self.json),
+            Command::History(command) => command.run(client, self.json),
+            Command::Dump(command) => command.run(client),
+            Command::Drain(command) => command.run(client, self.json),
+        }
+    }
+}
+
+fn default_daemon() -> SocketAddr {
+    DEFAULT_DAEMON.parse().expect("the default address is valid")
+}
--- /dev/null
+++ b/crates/cli/src/cmd/status.rs
@@ -0,0 +1,47 @@
+//! `pomeloreach status`.
+
+use crate::client::Client;
+use crate::error::CliError;
+use crate::print;
+use argh::FromArgs;
+use std::time::{Duration, Instant};
+
+/// The pause between questions, in milliseconds.
+const PAUSE_MS: u64 = 200;
+
+/// Show which version is in force on which daemon, who is behind, and what was refused.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct Status {
+    /// wait until every daemon that answers holds this version, or fail
+    #[argh(option)]
+    wait: Option<u64>,
+    /// how long to wait, in seconds (default: 10)
+    #[argh(option, default = "10")]
+    wait_s: u64,
+}
+
+impl Status {
+    pub fn run(self, client: Client, as_json: bool) -> Result<(), CliError> {
+        let until = Instant::now() + Duration::from_secs(self.wait_s);
+        loop {
+            let status = client.status()?;
+            let wanted = self.wait.unwrap_or(0);
+            let behind = status.rows.iter().filter(|row| row.version < wanted).count();
+            if behind > 0 && Instant::now() < until {
+                std::thread::sleep(Duration::from_millis(PAUSE_MS));
+                continue;
+            }
+            if as_json {
+                print::json(&status)?;
+            } else {
+                print::text(&print::status(&status))?;
+            }
+            if behind > 0 {
+                let reason = format!("{behind} daemons do not hold version {wanted} yet.");
+                return Err(CliError::NotYet(reason));
+            }
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/error.rs
@@ -0,0 +1,52 @@
+//! What can go wrong for an operator, and the exit code that says so to programs.
+
+use pomeloreach_core::api::{EditAnswer, ErrorAnswer};
+use pomeloreach_core::code::ResultCode;
+use pomeloreach_core::config::Refusal;
+use pomeloreach_wire::http::HttpError;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use thiserror::Error;
+
+/// An error for the operator; see `docs/ERRORS.md` for exit codes.
+#[derive(Debug, Error)]
+pub enum CliError {
+    #[error("Cannot read {path}: {source}.", path = path.display())]
+    Read { path: PathBuf, source: std::io::Error },
+    #[error("Cannot write the answer: {0}.")]
+    Write(std::io::Error),
+    #[error("{path} is not a valid table file: {reason}", path = path.display())]
+    Table { path: PathBuf, reason: String },
+    #[error("The tables are refused: {0}.")]
+    Invalid(Refusal),
+    #[error("The daemon at {addr} cannot be asked: {source}.")]
+    Daemon { addr: SocketAddr, source: HttpError },
+    #[error("The daemon at {addr} gave an answer that cannot be read: {reason}.")]
+    Answer { addr: SocketAddr, reason: String },
+    #[error("The daemon refused: {reason} ({number} {code}).", reason = .0.reason, number = .0.number, code = .0.code)]
+    Refused(ErrorAnswer),
+    #[error("The edit is not in force: {reason} ({number} {code}).", reason = .0.reason, number = .0.number, code = .0.code)]
+    NotAccepted(EditAnswer),
+    #[error(
+        "It is not known whether the edit is in force: {reason}. Ask again with --edit-id {edit_id}."
+    )]
+    Unknown { reason: String, edit_id: String },
+    #[error("There is no row '{0}'.")]
+    NoRow(String),
+    #[error("{0}")]
+    NotYet(String),
+}
+
+impl CliError {
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Read { .. } | Self::Table { .. } | Self::Invalid(_) | Self::NoRow(_) => 2,
+            Self::NotAccepted(answer) if answer.code == ResultCode::EditConflict => 4,
+            Self::NotAccepted(answer) if answer.code == ResultCode::StoreAway => 1,
+            Self::Refused(_) | Self::NotAccepted(_) => 3,
+            Self::Unknown { .. } => 5,
+            Self::NotYet(_) => 6,
+            Self::Write(_) | Self::Daemon { .. } | Self::Answer { .. } => 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,21 @@
+//! `pomeloreach`, the operators' command.
+
+mod client;
+mod cmd;
+mod error;
+mod print;
+mod rows;
+mod tables;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let command: cmd::Operator = argh::from_env();
+    match command.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("pomeloreach: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/print.rs
@@ -0,0 +1,113 @@
+//! What operators see: tables for people, JSON for programs.
+
+use crate::error::CliError;
+use pomeloreach_core::api::{EditAnswer, StatusAnswer};
+use pomeloreach_core::config::Config;
+use pomeloreach_core::edit::Change;
+use serde::Serialize;
+use std::fmt::Write as _;
+use std::io::{ErrorKind, Write};
+
+/// Writes text to standard output. A reader that has gone away is no error.
+pub fn text(text: &str) -> Result<(), CliError> {
+    match std::io::stdout().write_all(text.as_bytes()) {
+        Err(error) if error.kind() != ErrorKind::BrokenPipe => Err(CliError::Write(error)),
+        _ => Ok(()),
+    }
+}
+
+pub fn json<T: Serialize>(value: &T) -> Result<(), CliError> {
+    let mut encoded = serde_json::to_string_pretty(value).expect("answers are always encodable");
+    encoded.push('\n');
+    text(&encoded)
+}
+
+/// Lines of cells, each column as wide as its widest cell.
+pub fn table(head: &[&str], rows: &[Vec<String>]) -> String {
+    let mut widths: Vec<usize> = head.iter().map(|cell| cell.len()).collect();
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = (*width).max(cell.len());
+        }
+    }
+    let head: Vec<String> = head.iter().map(ToString::to_string).collect();
+    let mut out = String::new();
+    for row in std::iter::once(&head).chain(rows) {
+        let mut line = String::new();
+        for (width, cell) in widths.iter().zip(row) {
+            write!(line, "{cell:width$}  ").expect("writing to a string cannot fail");
+        }
+        out.push_str(line.trim_end());
+        out.push('\n');
+    }
+    out
+}
+
+pub fn change_line(change: &Change) -> String {
+    let verb = match change {
+        Change::SetRoute { expected_in: 0, .. } | Change::SetPool { expected_in: 0, .. } => "add",
+        Change::SetRoute { .. } | Change::SetPool { .. } => "change",
+        Change::DeleteRoute { .. } | Change::DeletePool { .. } => "delete",
+    };
+    format!("{verb} {} {}\n", change.table(), change.name())
+}
+
+pub fn edit_answer(answer: &EditAnswer, as_json: bool) -> Result<(), CliError> {
+    if as_json {
+        return json(answer);
+    }
+    text(&format!("{} ({} {}).\n", answer.reason, answer.number, answer.code))
+}
+
+pub fn status(status: &StatusAnswer) -> String {
+    let rows: Vec<Vec<String>> = status
+        .rows
+        .iter()
+        .map(|row| {
+            let lag = status.newest_version.saturating_sub(row.version);
+            vec![
+                row.region.to_string(),
+                row.zone.to_string(),
+                row.instance.to_string(),
+                row.role.to_string(),
+                row.version.to_string(),
+                lag.to_string(),
+                if row.ready { "yes" } else { "no" }.to_string(),
+            ]
+        })
+        .collect();
+    let mut out =
+        table(&["REGION", "ZONE", "INSTANCE", "ROLE", "VERSION", "BEHIND", "READY"], &rows);
+    let current = status.rows.iter().filter(|row| row.version == status.newest_version).count();
+    writeln!(
+        out,
+        "{current} of {} daemons hold version {}{}.",
+        status.rows.len(),
+        status.newest_version,
+        if status.complete { "" } else { "; some daemons could not be asked" }
+    )
+    .expect("writing to a string cannot fail");
+    for (version, refusal) in &status.refusals {
+        writeln!(out, "Version {version} was refused: {refusal}.")
+            .expect("writing to a string cannot fail");
+    }
+    out
+}
+
+pub fn history(config: &Config) -> String {
+    let mut rows: Vec<(u64, Vec<String>)> = Vec::new();
+    for (version, mark) in &config.edits {
+        let cells = ["accepted", &mark.edit_id, &mark.author].map(str::to_string).to_vec();
+        rows.push((*version, cells));
+    }
+    for (version, refusal) in &config.refusals {
+        let cells = vec!["refused".to_string(), String::new(), refusal.to_string()];
+        rows.push((*version, cells));
+    }
+    rows.sort();
+    let lines: Vec<Vec<String>> = rows
+        .into_iter()
+        .map(|(version, cells)| std::iter::once(version.to_string()).chain(cells).collect())
+        .collect();
+    table(&["VERSION", "OUTCOME", "EDIT", "AUTHOR OR REASON"], &lines)
+}
--- /dev/null
+++ b/crates/cli/src/tables.rs
@@ -0,0 +1,117 @@
+//! Table files: YAML with the rows of one or both tables.
+
+use crate::error::CliError;
+use pomeloreach_core::check::check_tables;
+use pomeloreach_core::config::{Config, Row, Tables};
+use pomeloreach_core::edit::Change;
+use pomeloreach_core::row::{Pool, Route};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+/// The rows in a file. A table that a file does not name is left as it is.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TableFile {
+    #[serde(default)]
+    pub routes: Option<BTreeMap<Arc<str>, Route>>,
+    #[serde(default)]
+    pub pools: Option<BTreeMap<Arc<str>, Pool>>,
+}
+
+pub fn read_yaml<T: DeserializeOwned>(path: &Path) -> Result<T, CliError> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| CliError::Read { path: path.to_path_buf(), source })?;
+    serde_saphyr::from_str(&text)
+        .map_err(|error| CliError::Table { path: path.to_path_buf(), reason: error.to_string() })
+}
+
+/// Reads files that together describe the tables.
+pub fn read_files(paths: &[PathBuf]) -> Result<TableFile, CliError> {
+    let mut whole = TableFile::default();
+    for path in paths {
+        let file: TableFile = read_yaml(path)?;
+        merge(&mut whole.routes, file.routes, path)?;
+        merge(&mut whole.pools, file.pools, path)?;
+    }
+    Ok(whole)
+}
+
+fn merge<T>(
+    whole: &mut Option<BTreeMap<Arc<str>, T>>,
+    rows: Option<BTreeMap<Arc<str>, T>>,
+    path: &Path,
+) -> Result<(), CliError> {
+    let Some(rows) = rows else { return Ok(()) };
+    let whole = whole.get_or_insert_default();
+    for (name, row) in rows {
+        if whole.insert(name.clone(), row).is_some() {
+            let reason = format!("row '{name}' stands in another file too");
+            return Err(CliError::Table { path: path.to_path_buf(), reason });
+        }
+    }
+    Ok(())
+}
+
+/// Checks files by themselves, as if they were all there is.
+pub fn check_file(file: &TableFile) -> Result<(), CliError> {
+    let routes = file.routes.iter().flatten();
+    let pools = file.pools.iter().flatten();
+    let tables = Tables {
+        routes: routes.map(|(name, row)| (name.clone(), new_row(row))).collect(),
+        pools: pools.map(|(name, row)| (name.clone(), new_row(row))).collect(),
+    };
+    check_tables(&tables).map_err(CliError::Invalid)
+}
+
+fn new_row<T: Clone>(value: &T) -> Arc<Row<T>> {
+    Arc::new(Row { changed_in: 0, value: value.clone() })
+}
+
+/// The changes that bring the tables in force to what the files say. Rows that the files do not
+/// have are deleted only when `prune` is set.
+pub fn changes_to(config: &Config, file: &TableFile, prune: bool) -> Vec<Change> {
+    let tables = &config.tables;
+    let mut changes = Vec::new();
+    for (name, pool) in file.pools.iter().flatten() {
+        let held = tables.pools.get(name);
+        if held.is_none_or(|row| row.value != *pool) {
+            let expected_in = held.map_or(0, |row| row.changed_in);
+            changes.push(Change::SetPool { name: name.clone(), expected_in, pool: pool.clone() });
+        }
+    }
+    for (name, route) in file.routes.iter().flatten() {
+        let held = tables.routes.get(name);
+        if held.is_none_or(|row| row.value != *route) {
+            let expected_in = held.map_or(0, |row| row.changed_in);
+            let route = route.clone();
+            changes.push(Change::SetRoute { name: name.clone(), expected_in, route });
+        }
+    }
+    if prune {
+        changes.extend(deletions(config, file));
+    }
+    changes
+}
+
+fn deletions(config: &Config, file: &TableFile) -> Vec<Change> {
+    let tables = &config.tables;
+    let mut changes = Vec::new();
+    if let Some(kept) = &file.routes {
+        let dropped = tables.routes.iter().filter(|(name, _)| !kept.contains_key(*name));
+        changes.extend(dropped.map(|(name, row)| Change::DeleteRoute {
+            name: name.clone(),
+            expected_in: row.changed_in,
+        }));
+    }
+    if let Some(kept) = &file.pools {
+        let dropped = tables.pools.iter().filter(|(name, _)| !kept.contains_key(*name));
+        changes.extend(dropped.map(|(name, row)| Change::DeletePool {
+            name: name.clone(),
+            expected_in: row.changed_in,
+        }));
+    }
+    changes
+}
--- /dev/null
+++ b/crates/core/src/code.rs
@@ -0,0 +1,120 @@
+//! Numbered result codes, one row each in `docs/ERRORS.md`.
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumIter, EnumString, FromRepr};
+
+/// What became of an edit, a configuration version, a request or an operator's call.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    EnumIter,
+    EnumString,
+    FromRepr,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+)]
+#[repr(u16)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum ResultCode {
+    EditAccepted = 1001,
+    EditUnchanged = 1002,
+    EditConflict = 1003,
+    EditUnknown = 1004,
+    StoreAway = 1005,
+    PublisherBusy = 1006,
+    VersionUndecodable = 1101,
+    VersionDigestMismatch = 1102,
+    VersionPoolMissing = 1103,
+    VersionRouteAmbiguous = 1104,
+    VersionRowOutOfBounds = 1105,
+    VersionTooLarge = 1106,
+    VersionRowChanged = 1107,
+    VersionEditRepeated = 1108,
+    VersionRowRepeated = 1109,
+    Answered = 2000,
+    NoRoute = 2001,
+    NoTarget = 2002,
+    TargetFull = 2003,
+    TargetDraining = 2004,
+    DeadlineBeforeRun = 2005,
+    RetryBudgetSpent = 2006,
+    RequestCut = 2007,
+    RequestTooLarge = 2008,
+    WrongInstance = 2009,
+    TargetUnreachable = 2010,
+    DaemonNotReady = 2011,
+    AnswerLost = 2101,
+    DeadlineAfterRun = 2102,
+    AnswerCut = 2103,
+    AnswerTooLarge = 2104,
+    Malformed = 3001,
+    BodyTooLarge = 3002,
+    NotFound = 3003,
+    TimedOut = 3004,
+}
+
+/// Whether a request reached a target, as far as this code can tell.
+#[derive(Clone, Copy, Debug, Display, EnumString, PartialEq, Eq, Serialize, Deserialize)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Outcome {
+    /// The target's whole answer follows.
+    Answered,
+    /// No byte of the request was handed to a target.
+    NotRun,
+    /// The request may have run; its answer was lost.
+    Unknown,
+}
+
+impl ResultCode {
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+
+    /// What a request's code says about its run. Only meaningful for codes from 2000 to 2999.
+    pub fn outcome(self) -> Outcome {
+        match self.number() {
+            2000 => Outcome::Answered,
+            2001..=2100 => Outcome::NotRun,
+            _ => Outcome::Unknown,
+        }
+    }
+
+    /// The HTTP status that carries the code to a caller or operator.
+    pub fn http_status(self) -> u16 {
+        match self {
+            Self::EditAccepted | Self::EditUnchanged | Self::Answered => 200,
+            Self::EditConflict => 409,
+            Self::EditUnknown | Self::DeadlineBeforeRun | Self::DeadlineAfterRun => 504,
+            Self::AnswerLost | Self::AnswerCut | Self::AnswerTooLarge => 502,
+            Self::NoRoute | Self::NotFound => 404,
+            Self::RequestCut | Self::Malformed => 400,
+            Self::RequestTooLarge | Self::BodyTooLarge => 413,
+            Self::TimedOut => 408,
+            Self::StoreAway
+            | Self::PublisherBusy
+            | Self::NoTarget
+            | Self::TargetFull
+            | Self::TargetDraining
+            | Self::RetryBudgetSpent
+            | Self::WrongInstance
+            | Self::TargetUnreachable
+            | Self::DaemonNotReady => 503,
+            Self::VersionUndecodable
+            | Self::VersionDigestMismatch
+            | Self::VersionPoolMissing
+            | Self::VersionRouteAmbiguous
+            | Self::VersionRowOutOfBounds
+            | Self::VersionTooLarge
+            | Self::VersionRowChanged
+            | Self::VersionEditRepeated
+            | Self::VersionRowRepeated => 422,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/config.rs
@@ -0,0 +1,96 @@
+//! One whole configuration: both tables as they are after some version.
+
+use crate::check::check_tables;
+use crate::code::ResultCode;
+use crate::digest::digest_hex;
+use crate::row::{Pool, Route, TableName};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use thiserror::Error;
+
+/// Edits that a configuration remembers by id, so that a repeated one is recognised.
+pub const REMEMBERED_EDITS_MAX: usize = 1_024;
+
+/// Refused versions that a configuration remembers for `status`.
+pub const REMEMBERED_REFUSALS_MAX: usize = 32;
+
+/// A row with the version that last changed it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row<T> {
+    pub changed_in: u64,
+    pub value: T,
+}
+
+/// The two tables, joined by the names of pools.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tables {
+    pub routes: BTreeMap<Arc<str>, Arc<Row<Route>>>,
+    pub pools: BTreeMap<Arc<str>, Arc<Row<Pool>>>,
+}
+
+impl Tables {
+    pub fn digest(&self) -> String {
+        digest_hex(self)
+    }
+
+    /// The version that last changed a row, or 0 when there is no such row.
+    pub fn row_version(&self, table: TableName, name: &str) -> u64 {
+        match table {
+            TableName::Routes => self.routes.get(name).map_or(0, |row| row.changed_in),
+            TableName::Pools => self.pools.get(name).map_or(0, |row| row.changed_in),
+        }
+    }
+}
+
+/// Who made an edit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EditMark {
+    pub edit_id: Arc<str>,
+    pub author: Arc<str>,
+}
+
+/// Why a version or an edit is refused. The same input is refused for the same reason everywhere.
+#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
+#[error("{reason} ({} {code})", code.number())]
+pub struct Refusal {
+    pub code: ResultCode,
+    pub reason: String,
+}
+
+impl Refusal {
+    pub fn new(code: ResultCode, reason: impl Into<String>) -> Self {
+        Self { code, reason: reason.into() }
+    }
+}
+
+/// Everything that is in force at one version.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Config {
+    pub version: u64,
+    pub tables: Tables,
+    /// Recent accepted edits by version, at most [`REMEMBERED_EDITS_MAX`].
+    pub edits: BTreeMap<u64, EditMark>,
+    /// Recent refused versions, at most [`REMEMBERED_REFUSALS_MAX`].
+    pub refusals: BTreeMap<u64, Refusal>,
+}
+
+impl Config {
+    pub fn version_of_edit(&self, edit_id: &str) -> Option<u64> {
+        self.edits.iter().rev().find(|(_, mark)| &*mark.edit_id == edit_id).map(|(v, _)| *v)
+    }
+
+    /// Asserts what every configuration that a proxy holds must satisfy.
+    pub fn assert_whole(&self) {
+        let checked = check_tables(&self.tables);
+        assert!(checked.is_ok(), "version {} is held but not valid: {checked:?}", self.version);
+    }
+}
+
+/// A configuration as it is kept in the platform's store and sent to daemons that are far behind.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Snapshot {
+    pub digest: String,
+    pub config: Config,
+}
--- /dev/null
+++ b/crates/core/src/event.rs
@@ -0,0 +1,53 @@
+//! Numbered log events, one row each in `docs/EVENTS.md`.
+
+use strum::{Display, EnumIter};
+
+/// Something worth a log line.
+#[derive(Clone, Copy, Debug, Display, EnumIter, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u16)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Event {
+    DaemonStarted = 100,
+    DaemonReady = 101,
+    DaemonDraining = 102,
+    DaemonStopped = 103,
+    VersionApplied = 200,
+    VersionRefused = 201,
+    SnapshotApplied = 202,
+    SnapshotWritten = 203,
+    SnapshotRefused = 204,
+    LogCollected = 205,
+    EditPublished = 206,
+    RelayClaimed = 300,
+    RelayLost = 301,
+    LeadClaimed = 302,
+    LeadLost = 303,
+    ParentJoined = 400,
+    ParentLost = 401,
+    ChildJoined = 402,
+    ChildLost = 403,
+    ChildRedirected = 404,
+    PeerJoined = 405,
+    PeerLost = 406,
+    RecordsResynced = 407,
+    TargetAnnounced = 500,
+    TargetLapsed = 501,
+    EndpointGone = 502,
+    StoreFailing = 600,
+    StoreRecovered = 601,
+    PeerRefused = 700,
+    InputRefused = 701,
+}
+
+impl Event {
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+/// An event with what it is about, in `key=value` words.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EventRecord {
+    pub event: Event,
+    pub detail: String,
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,38 @@
+//! The decisions of pomeloreach, without sockets, clocks or randomness of their own.
+//!
+//! Every module here holds tables and the systems that run over them. A process feeds inputs and
+//! the current time to [`node::Node`] for the control plane and to [`balancer::Balancer`],
+//! [`attempt::Attempts`] and [`admission::Admission`] for the data plane, and carries out the
+//! outputs. Randomised runs drive the same code, see `docs/PROOFS.md`.
+
+pub mod admission;
+pub mod api;
+pub mod attempt;
+pub mod balancer;
+pub mod budget;
+pub mod call;
+pub mod check;
+pub mod code;
+pub mod config;
+pub mod digest;
+pub mod dump;
+pub mod edit;
+pub mod endpoint;
+pub mod event;
+mod floor;
+mod joining;
+mod keeper;
+pub mod link;
+pub mod log;
+pub mod matching;
+pub mod membership;
+pub mod message;
+pub mod node;
+pub mod publisher;
+pub mod reader;
+mod records;
+pub mod roles;
+pub mod row;
+pub mod status;
+pub mod store;
+mod sync;
--- /dev/null
+++ b/crates/core/src/node.rs
@@ -0,0 +1,731 @@
+//! The control plane of one daemon: its tables, and the order in which systems run over them.
+//!
+//! [`Node::handle`] takes one input and the time, and returns what the process is to do. The
+//! systems stand in modules of their own: joining the tree, handing out versions, records,
+//! reading the log, publishing, roles, the version to start from, and keeping the log short.
+
+use crate::api::{EditAnswer, StatusAnswer};
+use crate::config::Config;
+use crate::edit::EditRequest;
+use crate::endpoint::{Endpoint, TargetState};
+use crate::event::{Event, EventRecord};
+use crate::floor::Floor;
+use crate::joining::Joining;
+use crate::keeper::{KeepCall, Keeper};
+use crate::link::{Link, LinkId, LinkKind, LinkState, OPENED_HERE};
+use crate::log::{ConfigLog, Offer};
+use crate::membership::{Entry, Membership};
+use crate::message::{Message, RelayInfo};
+use crate::publisher::{PublishCall, Publisher};
+use crate::reader::{ReadCall, ReadMode, ReadResult, Reader};
+use crate::roles::{Role, RoleCall, RoleChange, RoleNeeds, Roles};
+use crate::status::{Asker, StatusAsk, StatusAsks, StatusRow};
+use crate::store::{
+    EDITS_PREFIX, SNAPSHOTS_PREFIX, StoreFailure, StoreOp, StoreReply, StoredObject, version_of_key,
+};
+use rand_chacha::ChaCha8Rng;
+use rand_core::SeedableRng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// How often a process ticks its node, in milliseconds.
+pub const TICK_MS: u64 = 50;
+/// Failed calls in a row after which the store counts as failing.
+const STORE_FAILING_AFTER: u32 = 2;
+
+/// What a node knows from its settings.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    pub own: RelayInfo,
+    pub seeds: Vec<SocketAddr>,
+    pub relays_per_zone: u16,
+    /// Links from other daemons that a relay takes at the most.
+    pub children_max: usize,
+}
+
+/// Names a call to the store within one daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallId(pub u64);
+
+/// What a target or its announcement's end says, with what the process adds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetReport {
+    pub service: Arc<str>,
+    pub state: TargetState,
+    pub slots: u16,
+}
+
+/// Something that happened outside.
+#[derive(Clone, Debug)]
+pub enum Input {
+    Tick,
+    LinkAccepted {
+        link: LinkId,
+        addr: SocketAddr,
+    },
+    LinkOpened {
+        link: LinkId,
+    },
+    LinkDown {
+        link: LinkId,
+    },
+    Received {
+        link: LinkId,
+        message: Message,
+    },
+    StoreAnswered {
+        call: CallId,
+        result: Result<StoreReply, StoreFailure>,
+    },
+    Target(TargetReport),
+    Publish {
+        ticket: u64,
+        request: EditRequest,
+    },
+    AskStatus {
+        ticket: u64,
+    },
+    /// A request needs the records of a service.
+    Subscribe {
+        service: Arc<str>,
+    },
+    /// The daemon prepares to stop.
+    Leave,
+    /// The daemon stops now.
+    Stop,
+}
+
+/// Something to do outside.
+#[derive(Clone, Debug)]
+pub enum Output {
+    Connect {
+        link: LinkId,
+        addr: SocketAddr,
+    },
+    Send {
+        link: LinkId,
+        message: Message,
+    },
+    Close {
+        link: LinkId,
+    },
+    CallStore {
+        call: CallId,
+        op: StoreOp,
+    },
+    ConfigInForce(Arc<Config>),
+    /// All records of a service that this daemon knows, after a change.
+    Endpoints {
+        service: Arc<str>,
+        entries: Vec<Entry>,
+    },
+    Published {
+        ticket: u64,
+        answer: EditAnswer,
+    },
+    Status {
+        ticket: u64,
+        answer: StatusAnswer,
+    },
+    Event(EventRecord),
+}
+
+/// Which system made a call to the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum CallOwner {
+    Read(ReadCall),
+    Role(RoleCall),
+    Publish { ticket: u64, call: PublishCall },
+    Floor,
+    Keep(KeepCall),
+}
+
+/// The control plane of one daemon.
+#[derive(Debug)]
+pub struct Node {
+    pub(crate) settings: NodeSettings,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) now_ms: u64,
+    pub(crate) log: ConfigLog,
+    pub(crate) links: BTreeMap<LinkId, Link>,
+    pub(crate) membership: Membership,
+    pub(crate) own_record: Option<Endpoint>,
+    /// The services whose records this daemon needs itself.
+    pub(crate) services: BTreeSet<Arc<str>>,
+    /// Of those, the ones whose records are whole.
+    pub(crate) known_services: BTreeSet<Arc<str>>,
+    pub(crate) roles: Roles,
+    pub(crate) joining: Joining,
+    pub(crate) floor: Floor,
+    pub(crate) newest_version: u64,
+    pub(crate) known_relays: BTreeSet<RelayInfo>,
+    pub(crate) leaving: bool,
+    reader: Reader,
+    publisher: Publisher,
+    keeper: Keeper,
+    asks: StatusAsks,
+    calls: BTreeMap<CallId, CallOwner>,
+    next_call: u64,
+    next_link: u64,
+    store_failures: u32,
+    in_force_version: Option<u64>,
+    stopped: bool,
+    outputs: Vec<Output>,
+}
+
+impl Node {
+    pub fn new(settings: NodeSettings, seed: u64, now_ms: u64) -> Self {
+        let roles = Roles::new(settings.own.clone(), settings.relays_per_zone);
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now_ms,
+            log: ConfigLog::default(),
+            links: BTreeMap::new(),
+            membership: Membership::default(),
+            own_record: None,
+            services: BTreeSet::new(),
+            known_services: BTreeSet::new(),
+            roles,
+            joining: Joining::new(now_ms),
+            floor: Floor::new(now_ms),
+            newest_version: 0,
+            known_relays: BTreeSet::new(),
+            leaving: false,
+            reader: Reader::new(),
+            publisher: Publisher::default(),
+            keeper: Keeper::default(),
+            asks: StatusAsks::default(),
+            calls: BTreeMap::new(),
+            next_call: 0,
+            next_link: OPENED_HERE,
+            store_failures: 0,
+            in_force_version: None,
+            stopped: false,
+            outputs: Vec::new(),
+            settings,
+        }
+    }
+
+    pub fn own(&self) -> &RelayInfo {
+        &self.settings.own
+    }
+
+    pub fn config(&self) -> &Arc<Config> {
+        self.log.config()
+    }
+
+    /// Whether the daemon holds the version it must start from, and may serve.
+    pub fn is_ready(&self) -> bool {
+        self.floor.is_reached()
+    }
+
+    pub fn is_relay(&self) -> bool {
+        self.roles.holds(Role::Relay)
+    }
+
+    pub fn has_parent(&self) -> bool {
+        self.joining.joined_parent().is_some()
+    }
+
+    /// Whether this daemon speaks for its region: by lease, or as a relay whom no lead feeds.
+    pub fn is_lead(&self) -> bool {
+        self.roles.holds(Role::Lead) || (self.is_relay() && !self.has_parent())
+    }
+
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    pub fn newest_version(&self) -> u64 {
+        self.newest_version
+    }
+
+    pub fn links(&self) -> impl Iterator<Item = (&LinkId, &Link)> {
+        self.links.iter()
+    }
+
+    pub fn is_store_failing(&self) -> bool {
+        self.store_failures >= STORE_FAILING_AFTER
+    }
+
+    /// Whether the records of a service can be relied on to be all there are.
+    pub fn knows_service(&self, service: &str) -> bool {
+        self.is_relay() || self.known_services.contains(service)
+    }
+
+    /// Takes in one input and runs the systems that it concerns.
+    pub fn handle(&mut self, now_ms: u64, input: Input) -> Vec<Output> {
+        self.now_ms = now_ms.max(self.now_ms);
+        if self.stopped {
+            return Vec::new();
+        }
+        match input {
+            Input::Tick => self.tick(),
+            Input::LinkAccepted { link, addr } => self.accept_link(link, addr),
+            Input::LinkOpened { link } => self.greet(link),
+            Input::LinkDown { link } => self.drop_link(link),
+            Input::Received { link, message } => self.receive(link, message),
+            Input::StoreAnswered { call, result } => self.store_answered(call, result),
+            Input::Target(report) => self.report_target(report),
+            Input::Publish { ticket, request } => self.publish(ticket, request),
+            Input::AskStatus { ticket } => self.ask_status(Asker::Operator { ticket }, None),
+            Input::Subscribe { service } => self.subscribe(service),
+            Input::Leave => self.leave(),
+            Input::Stop => self.stop(),
+        }
+        self.send_versions();
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn tick(&mut self) {
+        self.close_overdue_links();
+        self.run_roles();
+        self.run_joining();
+        self.run_floor();
+        self.run_reader();
+        self.run_publisher();
+        self.run_keeper();
+        self.run_records();
+        self.send_heartbeats();
+        self.finish_asks();
+        if self.leaving {
+            return;
+        }
+        self.put_in_force();
+    }
+
+    pub(crate) fn output(&mut self, output: Output) {
+        self.outputs.push(output);
+    }
+
+    pub(crate) fn send(&mut self, link: LinkId, message: Message) {
+        self.outputs.push(Output::Send { link, message });
+    }
+
+    pub(crate) fn event(&mut self, event: Event, detail: String) {
+        self.outputs.push(Output::Event(EventRecord { event, detail }));
+    }
+
+    pub(crate) fn call_store(&mut self, owner: CallOwner, op: StoreOp) {
+        self.next_call += 1;
+        let call = CallId(self.next_call);
+        self.calls.insert(call, owner);
+        self.outputs.push(Output::CallStore { call, op });
+    }
+
+    pub(crate) fn open_link(&mut self, kind: LinkKind, addr: SocketAddr) -> LinkId {
+        self.next_link += 1;
+        let link = LinkId(self.next_link);
+        self.links.insert(link, Link::new(kind, LinkState::Opening, addr, self.now_ms));
+        self.outputs.push(Output::Connect { link, addr });
+        link
+    }
+
+    pub(crate) fn close_link(&mut self, link: LinkId) {
+        self.output(Output::Close { link });
+        self.drop_link(link);
+    }
+
+    fn close_overdue_links(&mut self) {
+        let overdue: Vec<LinkId> = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.is_overdue(self.now_ms))
+            .map(|(id, _)| *id)
+            .collect();
+        for link in overdue {
+            self.close_link(link);
+        }
+    }
+
+    pub(crate) fn joined_links(&self, wanted: impl Fn(LinkKind) -> bool) -> Vec<LinkId> {
+        self.links
+            .iter()
+            .filter(|(_, link)| link.state == LinkState::Joined && wanted(link.kind))
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    fn receive(&mut self, link: LinkId, message: Message) {
+        let Some(entry) = self.links.get_mut(&link) else { return };
+        entry.heard_ms = self.now_ms;
+        let is_joined = entry.state == LinkState::Joined;
+        match message {
+            Message::Hello(hello) => self.receive_hello(link, *hello),
+            Message::Welcome(welcome) => self.receive_welcome(link, welcome),
+            Message::Redirect { relays, retry_after_ms } => {
+                self.receive_redirect(link, relays, retry_after_ms);
+            }
+            _ if !is_joined => self.close_link(link),
+            Message::Relays(relays) => self.known_relays = relays.into_iter().collect(),
+            Message::Heartbeat(heartbeat) => self.receive_heartbeat(link, &heartbeat),
+            Message::Edits(edits) => self.receive_edits(edits),
+            Message::Snapshot(raw) => self.receive_snapshot(&raw),
+            Message::Records { scope, full, records } => {
+                self.receive_records(link, &scope, full, records);
+            }
+            Message::ResyncAsk => self.send_all_records(link),
+            Message::Subscribe { services } => self.receive_subscribe(link, services),
+            Message::Nominate => self.roles.nominate(self.now_ms),
+            Message::StatusAsk { ask } => self.ask_status(Asker::Link { link, ask }, Some(link)),
+            Message::StatusReply { ask, rows, complete } => {
+                self.asks.reply(link, ask, rows, complete);
+                self.finish_asks();
+            }
+            Message::Bye => self.receive_bye(link),
+        }
+    }
+
+    fn store_answered(&mut self, call: CallId, result: Result<StoreReply, StoreFailure>) {
+        let Some(owner) = self.calls.remove(&call) else { return };
+        self.note_store_health(result.is_ok());
+        match owner {
+            CallOwner::Read(read) => self.log_read(read, result),
+            CallOwner::Role(role_call) => {
+                self.roles.answered(role_call, result, self.now_ms);
+                self.apply_role_changes();
+            }
+            CallOwner::Publish { ticket, call } => {
+                let held = self.log.config().clone();
+                let objects = self.publisher.answered(ticket, call, result, &held, self.now_ms);
+                self.take_objects(&objects);
+                self.run_publisher();
+            }
+            CallOwner::Floor => self.floor_answered(result),
+            CallOwner::Keep(keep) => {
+                let events = self.keeper.answered(keep, result);
+                for (event, detail) in events {
+                    self.event(event, detail);
+                }
+                self.run_keeper();
+            }
+        }
+    }
+
+    fn note_store_health(&mut self, is_ok: bool) {
+        let was_failing = self.is_store_failing();
+        self.store_failures = if is_ok { 0 } else { self.store_failures.saturating_add(1) };
+        match (was_failing, self.is_store_failing()) {
+            (false, true) => self.event(Event::StoreFailing, String::new()),
+            (true, false) => self.event(Event::StoreRecovered, String::new()),
+            _ => {}
+        }
+    }
+
+    fn log_read(&mut self, call: ReadCall, result: Result<StoreReply, StoreFailure>) {
+        let held_version = self.log.version();
+        match self.reader.answered(call, result, held_version, self.now_ms) {
+            ReadResult::Nothing => {}
+            ReadResult::Edits { objects, is_whole } => {
+                let before = self.log.version();
+                self.take_objects(&objects);
+                if is_whole && !self.floor.is_known() {
+                    let newest = self.newest_version.max(self.log.version());
+                    self.floor.learn(newest);
+                }
+                if self.log.version() != before {
+                    self.reader.list_now(self.now_ms);
+                }
+            }
+            ReadResult::Snapshots(objects) => self.take_snapshots(&objects),
+        }
+        self.run_reader();
+    }
+
+    /// Takes in the newest snapshot that passes every check.
+    fn take_snapshots(&mut self, objects: &[StoredObject]) {
+        for object in objects.iter().rev() {
+            let is_ours = version_of_key(SNAPSHOTS_PREFIX, &object.key).is_some();
+            if is_ours && self.take_snapshot(object.value.as_bytes()) {
+                return;
+            }
+        }
+    }
+
+    /// Tells whether nothing newer than the snapshot remains to be tried.
+    pub(crate) fn take_snapshot(&mut self, raw: &[u8]) -> bool {
+        match self.log.offer_snapshot(raw) {
+            Ok(false) => true,
+            Ok(true) => {
+                let version = self.log.version();
+                self.event(Event::SnapshotApplied, format!("version={version}"));
+                self.version_changed();
+                true
+            }
+            Err(refusal) => {
+                self.event(Event::SnapshotRefused, format!("reason=\"{refusal}\""));
+                false
+            }
+        }
+    }
+
+    fn take_objects(&mut self, objects: &[StoredObject]) {
+        for object in objects {
+            let Some(version) = version_of_key(EDITS_PREFIX, &object.key) else { continue };
+            let raw: Arc<[u8]> = object.value.as_bytes().into();
+            if self.take_edit(version, &raw) == Offer::Gap {
+                self.reader.want_snapshots();
+                self.reader.list_now(self.now_ms);
+                return;
+            }
+        }
+    }
+
+    pub(crate) fn take_edit(&mut self, version: u64, raw: &Arc<[u8]>) -> Offer {
+        let offer = self.log.offer(version, raw);
+        match &offer {
+            Offer::Stale | Offer::Gap => {}
+            Offer::Applied => {
+                self.event(Event::VersionApplied, format!("version={version}"));
+                self.version_changed();
+            }
+            Offer::Refused(refusal) => {
+                let detail = format!("version={version} reason=\"{refusal}\"");
+                self.event(Event::VersionRefused, detail);
+                self.version_changed();
+            }
+        }
+        offer
+    }
+
+    fn version_changed(&mut self) {
+        self.newest_version = self.newest_version.max(self.log.version());
+        self.put_in_force();
+    }
+
+    /// Hands the configuration to the data plane, once the version to start from is reached.
+    fn put_in_force(&mut self) {
+        self.floor.reach(self.log.version());
+        if !self.floor.is_reached() {
+            return;
+        }
+        let version = self.log.version();
+        if self.in_force_version == Some(version) {
+            return;
+        }
+        if self.in_force_version.is_none() {
+            self.event(Event::DaemonReady, format!("version={version}"));
+        }
+        assert!(Some(version) > self.in_force_version, "what is in force never moves back");
+        self.in_force_version = Some(version);
+        let config = self.log.config().clone();
+        self.output(Output::ConfigInForce(config));
+    }
+
+    fn run_roles(&mut self) {
+        let needs = RoleNeeds { orphaned: self.joining.looks_for_relays(), leaving: self.leaving };
+        for (call, op) in self.roles.tick(self.now_ms, needs, &mut self.rng) {
+            self.call_store(CallOwner::Role(call), op);
+        }
+        self.apply_role_changes();
+    }
+
+    fn apply_role_changes(&mut self) {
+        for change in self.roles.take_changes() {
+            match change {
+                RoleChange::Claimed { role: Role::Relay, key } => {
+                    self.event(Event::RelayClaimed, format!("key={key}"));
+                    self.become_relay();
+                }
+                RoleChange::Claimed { role: Role::Lead, key } => {
+                    self.event(Event::LeadClaimed, format!("key={key}"));
+                    self.become_lead();
+                }
+                RoleChange::Lost { role: Role::Relay, key } => {
+                    self.event(Event::RelayLost, format!("key={key}"));
+                    self.stop_relaying();
+                }
+                RoleChange::Lost { role: Role::Lead, key } => {
+                    self.event(Event::LeadLost, format!("key={key}"));
+                    self.stop_leading();
+                }
+            }
+        }
+    }
+
+    fn run_reader(&mut self) {
+        let mode = self.read_mode();
+        let held_version = self.log.version();
+        for (call, op) in self.reader.tick(self.now_ms, held_version, mode, &mut self.rng) {
+            self.call_store(CallOwner::Read(call), op);
+        }
+    }
+
+    fn read_mode(&self) -> ReadMode {
+        if self.leaving {
+            return ReadMode::Off;
+        }
+        if self.is_lead() {
+            return ReadMode::Follow;
+        }
+        let may_poll = self.is_relay() || self.joining.is_long_orphaned(self.now_ms);
+        if may_poll { ReadMode::Poll } else { ReadMode::Off }
+    }
+
+    fn publish(&mut self, ticket: u64, request: EditRequest) {
+        if let Some(finished) = self.publisher.submit(ticket, request, self.now_ms) {
+            self.output(Output::Published { ticket, answer: finished.answer });
+        }
+        self.run_publisher();
+    }
+
+    fn run_publisher(&mut self) {
+        let held = self.log.config().clone();
+        let (calls, finished) = self.publisher.tick(self.now_ms, &held);
+        for finished in finished {
+            let (ticket, answer) = (finished.ticket, finished.answer);
+            self.event(
+                Event::EditPublished,
+                format!("code={} version={}", answer.number, answer.version),
+            );
+            self.output(Output::Published { ticket, answer });
+        }
+        let Some(ticket) = self.publisher.current_ticket() else { return };
+        for (call, op) in calls {
+            self.call_store(CallOwner::Publish { ticket, call }, op);
+        }
+    }
+
+    fn run_keeper(&mut self) {
+        if !self.roles.holds(Role::Lead) || self.leaving || !self.is_ready() {
+            return;
+        }
+        // One lead is enough; when two think so, conditional writes keep them apart.
+        let peers = self.roles.live_peers(self.now_ms);
+        if peers.iter().any(|peer| peer.region < self.own().region) {
+            return;
+        }
+        if let Some((call, op)) = self.keeper.tick(self.now_ms, &mut self.log) {
+            self.call_store(CallOwner::Keep(call), op);
+        }
+    }
+
+    fn leave(&mut self) {
+        self.leaving = true;
+        self.event(Event::DaemonDraining, String::new());
+    }
+
+    fn stop(&mut self) {
+        for link in self.joined_links(|_| true) {
+            self.send(link, Message::Bye);
+        }
+        self.stopped = true;
+        self.event(Event::DaemonStopped, String::new());
+    }
+
+    /// Asks up, down and across the tree, each daemon only the ones that were not yet asked.
+    fn ask_status(&mut self, asker: Asker, from: Option<LinkId>) {
+        let from_kind = from.and_then(|link| self.links.get(&link)).map(|link| link.kind);
+        let asks_up = from_kind.is_none_or(LinkKind::is_child);
+        let waiting_for: BTreeSet<LinkId> = self
+            .joined_links(|kind| match kind {
+                LinkKind::RelayChild => true,
+                LinkKind::Parent | LinkKind::Peer => asks_up,
+                _ => false,
+            })
+            .into_iter()
+            .filter(|link| Some(*link) != from)
+            .collect();
+        let wait_ms = match (asker, from_kind) {
+            (Asker::Operator { .. }, _) => crate::status::STATUS_WAIT_MS,
+            (_, Some(LinkKind::LeafChild)) => {
+                crate::status::STATUS_WAIT_MS - crate::status::STATUS_WAIT_STEP_MS
+            }
+            (_, Some(LinkKind::RelayChild)) => {
+                crate::status::STATUS_WAIT_MS - 2 * crate::status::STATUS_WAIT_STEP_MS
+            }
+            _ => crate::status::STATUS_WAIT_MS - 3 * crate::status::STATUS_WAIT_STEP_MS,
+        };
+        let ask = StatusAsk {
+            asker,
+            deadline_ms: self.now_ms + wait_ms,
+            waiting_for: waiting_for.clone(),
+            rows: self.own_status_rows(),
+            complete: !asks_up || self.reaches_fleet(),
+        };
+        let ask = self.asks.insert(ask);
+        for link in waiting_for {
+            self.send(link, Message::StatusAsk { ask });
+        }
+        self.finish_asks();
+    }
+
+    /// Whether a question from here can reach every daemon: over a parent, or as a lead over the
+    /// leads of all other regions.
+    fn reaches_fleet(&self) -> bool {
+        if self.has_parent() {
+            return true;
+        }
+        let linked = self.links.values().filter(|link| link.is_joined(LinkKind::Peer));
+        let linked: BTreeSet<&RelayInfo> = linked.filter_map(|link| link.remote.as_ref()).collect();
+        let peers = self.roles.live_peers(self.now_ms);
+        self.roles.holds(Role::Lead) && peers.iter().all(|peer| linked.contains(peer))
+    }
+
+    /// This daemon and the leaves that it feeds.
+    fn own_status_rows(&self) -> Vec<StatusRow> {
+        let own = &self.settings.own;
+        let role = match (self.roles.holds(Role::Lead), self.is_relay()) {
+            (true, _) => "lead",
+            (false, true) => "relay",
+            (false, false) => "leaf",
+        };
+        let own_row = StatusRow {
+            region: own.region.clone(),
+            zone: own.zone.clone(),
+            instance: own.instance.clone(),
+            role: role.into(),
+            version: self.log.version(),
+            ready: self.is_ready(),
+            refused_versions: self.refused_versions(),
+            heard_ms_ago: 0,
+        };
+        let leaves = self.links.values().filter(|link| link.is_joined(LinkKind::LeafChild));
+        let leaf_rows = leaves.filter_map(|link| {
+            let remote = link.remote.as_ref()?;
+            Some(StatusRow {
+                region: remote.region.clone(),
+                zone: remote.zone.clone(),
+                instance: remote.instance.clone(),
+                role: "leaf".into(),
+                version: link.remote_version,
+                ready: link.remote_ready,
+                refused_versions: link.remote_refused_versions,
+                heard_ms_ago: self.now_ms - link.heard_ms,
+            })
+        });
+        std::iter::once(own_row).chain(leaf_rows).collect()
+    }
+
+    pub(crate) fn refused_versions(&self) -> u16 {
+        u16::try_from(self.log.config().refusals.len()).unwrap_or(u16::MAX)
+    }
+
+    fn finish_asks(&mut self) {
+        for finished in self.asks.take_finished(self.now_ms) {
+            match finished.asker {
+                Asker::Operator { ticket } => {
+                    let answer = StatusAnswer {
+                        newest_version: self.newest_version,
+                        complete: finished.complete,
+                        rows: finished.rows,
+                        refusals: self.log.config().refusals.clone(),
+                    };
+                    self.output(Output::Status { ticket, answer });
+                }
+                Asker::Link { link, ask } => {
+                    let (rows, complete) = (finished.rows, finished.complete);
+                    self.send(link, Message::StatusReply { ask, rows, complete });
+                }
+            }
+        }
+    }
+
+    /// Forgets a link, and what hangs on it.
+    fn drop_link(&mut self, id: LinkId) {
+        let Some(link) = self.links.remove(&id) else { return };
+        self.asks.forget_link(id);
+        self.after_link_lost(id, &link);
+    }
+}
--- /dev/null
+++ b/crates/core/src/records.rs
@@ -0,0 +1,369 @@
+//! Endpoint records on their way through the tree: up from each daemon, across leads, and down to
+//! the daemons that route to a service.
+
+use crate::endpoint::{Endpoint, TargetState};
+use crate::event::Event;
+use crate::link::{LinkId, LinkKind};
+use crate::membership::{Entry, LEAF_GRACE_MS, RELAY_GRACE_MS, Via, scope_contains};
+use crate::message::{Message, Scope};
+use crate::node::{Node, Output, TargetReport};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Services whose records one leaf may ask for.
+const SERVICES_MAX: usize = 256;
+
+impl Node {
+    /// The local target announced itself, changed, or let its announcement lapse.
+    pub(crate) fn report_target(&mut self, report: TargetReport) {
+        let sequence = self.own_record.as_ref().map_or(1, |record| record.sequence + 1);
+        let own = self.own();
+        let record = Endpoint {
+            instance: own.instance.clone(),
+            sequence,
+            service: report.service,
+            state: report.state,
+            region: own.region.clone(),
+            zone: own.zone.clone(),
+            addr: own.addr,
+            slots: report.slots,
+            gone: false,
+        };
+        let event = match report.state {
+            TargetState::Lapsed => Event::TargetLapsed,
+            _ => Event::TargetAnnounced,
+        };
+        self.event(event, format!("service={} state={}", record.service, record.state));
+        self.set_own_record(record);
+        self.run_records();
+    }
+
+    fn set_own_record(&mut self, record: Endpoint) {
+        self.membership.merge(record.clone(), Via::Own, self.now_ms);
+        self.own_record = Some(record);
+    }
+
+    /// Raises the sequence, so that the record overrules what was said of it elsewhere.
+    pub(crate) fn renew_own_record(&mut self) {
+        let Some(mut record) = self.own_record.clone() else { return };
+        record.sequence += 1;
+        self.set_own_record(record);
+    }
+
+    /// The records that this daemon reports to its parent: its own and its children's.
+    pub(crate) fn records_answered_for(&self) -> Vec<Endpoint> {
+        let vias: BTreeSet<Via> = self.vias_below().collect();
+        self.membership
+            .entries()
+            .filter(|entry| vias.contains(&entry.via) && !entry.record.gone)
+            .map(|entry| entry.record.clone())
+            .collect()
+    }
+
+    fn vias_below(&self) -> impl Iterator<Item = Via> {
+        let children = self.joined_links(LinkKind::is_child).into_iter().map(Via::Link);
+        std::iter::once(Via::Own).chain(children)
+    }
+
+    /// The scope of the records that are sent down or across a link.
+    fn scope_for(&self, id: LinkId) -> Option<Scope> {
+        let link = self.links.get(&id)?;
+        match link.kind {
+            LinkKind::LeafChild => Some(Scope::Services(link.services.clone())),
+            LinkKind::RelayChild => Some(Scope::All),
+            LinkKind::Peer => Some(Scope::Region(self.own().region.clone())),
+            _ => None,
+        }
+    }
+
+    /// The digest of what the other side should hold from here.
+    pub(crate) fn digest_for(&self, id: LinkId) -> u64 {
+        match self.links.get(&id).map(|link| link.kind) {
+            Some(LinkKind::Parent) => self.membership.digest_via(self.vias_below()),
+            Some(_) => self.scope_for(id).map_or(0, |scope| self.membership.digest_of(&scope)),
+            None => 0,
+        }
+    }
+
+    /// The digest of what is held here from the other side.
+    pub(crate) fn digest_from(&self, id: LinkId) -> u64 {
+        let Some(link) = self.links.get(&id) else { return 0 };
+        match link.kind {
+            LinkKind::LeafChild | LinkKind::RelayChild => {
+                self.membership.digest_via(std::iter::once(Via::Link(id)))
+            }
+            LinkKind::Parent if self.is_relay() => self.membership.digest_of(&Scope::All),
+            LinkKind::Parent => self.membership.digest_of(&Scope::Services(self.services.clone())),
+            LinkKind::Peer => link.remote.as_ref().map_or(0, |remote| {
+                self.membership.digest_of(&Scope::Region(remote.region.clone()))
+            }),
+            _ => 0,
+        }
+    }
+
+    /// Sends everything that the other side should hold from here.
+    pub(crate) fn send_all_records(&mut self, id: LinkId) {
+        let Some(link) = self.links.get(&id) else { return };
+        let (scope, records) = if link.kind == LinkKind::Parent {
+            (Scope::All, self.records_answered_for())
+        } else {
+            let Some(scope) = self.scope_for(id) else { return };
+            let records = self.membership.in_scope(&scope);
+            (scope, records)
+        };
+        self.send(id, Message::Records { scope, full: true, records });
+    }
+
+    pub(crate) fn receive_subscribe(&mut self, id: LinkId, services: BTreeSet<Arc<str>>) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        if link.kind != LinkKind::LeafChild || link.services.len() + services.len() > SERVICES_MAX {
+            return;
+        }
+        link.services.extend(services.iter().cloned());
+        let scope = Scope::Services(services);
+        let records = self.membership.in_scope(&scope);
+        self.send(id, Message::Records { scope, full: true, records });
+    }
+
+    /// Starts to follow the records of a service.
+    pub(crate) fn subscribe(&mut self, service: Arc<str>) {
+        if !self.services.insert(service.clone()) {
+            return self.output_endpoints(&service);
+        }
+        if let Some(parent) = self.joining.joined_parent()
+            && !self.is_relay()
+        {
+            let services = [service.clone()].into_iter().collect();
+            self.send(parent, Message::Subscribe { services });
+        }
+        self.output_endpoints(&service);
+    }
+
+    /// Hands the data plane all records of a service, once they are known to be all.
+    pub(crate) fn output_endpoints(&mut self, service: &Arc<str>) {
+        if !self.services.contains(service) || !self.knows_service(service) {
+            return;
+        }
+        let entries = self.membership.of_service(service).cloned().collect();
+        self.output(Output::Endpoints { service: service.clone(), entries });
+    }
+
+    pub(crate) fn take_child_records(&mut self, id: LinkId, records: Vec<Endpoint>) {
+        self.receive_records(id, &Scope::All, true, records);
+    }
+
+    pub(crate) fn receive_records(
+        &mut self,
+        id: LinkId,
+        scope: &Scope,
+        full: bool,
+        records: Vec<Endpoint>,
+    ) {
+        let Some(link) = self.links.get(&id) else { return };
+        let (kind, remote) = (link.kind, link.remote.clone());
+        let reported: BTreeSet<Arc<str>> =
+            records.iter().map(|record| record.instance.clone()).collect();
+        for record in records {
+            let is_allowed = match kind {
+                LinkKind::Parent => true,
+                LinkKind::LeafChild | LinkKind::RelayChild => record.region == self.own().region,
+                LinkKind::Peer => remote.as_ref().is_some_and(|r| r.region == record.region),
+                _ => false,
+            };
+            if is_allowed {
+                self.take_record(id, kind, record);
+            }
+        }
+        if full {
+            self.drop_unreported(id, kind, scope, &reported);
+        }
+        if kind == LinkKind::Parent && full {
+            self.services_known(scope);
+        }
+        self.run_records();
+    }
+
+    fn take_record(&mut self, id: LinkId, kind: LinkKind, record: Endpoint) {
+        if record.instance == self.own().instance {
+            return self.overrule(&record);
+        }
+        if kind.is_child() {
+            self.membership.confirm(&record, Via::Link(id));
+            let stands_gone = self
+                .membership
+                .get(&record.instance)
+                .is_some_and(|held| held.record.gone && !record.supersedes(&held.record));
+            if stands_gone && !record.gone {
+                let gone = self.membership.get(&record.instance).map(|held| held.record.clone());
+                let records = gone.into_iter().collect();
+                self.send(id, Message::Records { scope: Scope::All, full: false, records });
+                return;
+            }
+        }
+        let via = self.via_after_merge(id, kind, &record);
+        self.membership.merge(record, via, self.now_ms);
+    }
+
+    /// A record from above about a daemon that is linked here stays with that link.
+    fn via_after_merge(&self, id: LinkId, kind: LinkKind, record: &Endpoint) -> Via {
+        let held_via = self.membership.get(&record.instance).map(|held| held.via);
+        match held_via {
+            Some(Via::Link(child))
+                if !kind.is_child()
+                    && record.gone
+                    && self.links.get(&child).is_some_and(|link| link.kind.is_child()) =>
+            {
+                Via::Link(child)
+            }
+            _ => Via::Link(id),
+        }
+    }
+
+    /// Someone says this daemon is gone, or holds a newer record of it than it made.
+    fn overrule(&mut self, record: &Endpoint) {
+        let Some(mut own) = self.own_record.clone() else { return };
+        if (record.gone && record.sequence >= own.sequence) || record.sequence > own.sequence {
+            own.sequence = record.sequence + 1;
+            self.set_own_record(own);
+        }
+    }
+
+    fn drop_unreported(
+        &mut self,
+        id: LinkId,
+        kind: LinkKind,
+        scope: &Scope,
+        reported: &BTreeSet<Arc<str>>,
+    ) {
+        let children: BTreeSet<Via> =
+            self.joined_links(LinkKind::is_child).into_iter().map(Via::Link).collect();
+        let now_ms = self.now_ms;
+        match kind {
+            LinkKind::LeafChild | LinkKind::RelayChild => {
+                let expires_ms = now_ms + LEAF_GRACE_MS;
+                self.membership.expire_where(expires_ms, |entry| {
+                    entry.via == Via::Link(id) && !reported.contains(&entry.record.instance)
+                });
+            }
+            LinkKind::Parent | LinkKind::Peer => {
+                let gone = self.membership.mark_gone_where(now_ms, |entry| {
+                    entry.via != Via::Own
+                        && !children.contains(&entry.via)
+                        && scope_contains(scope, &entry.record)
+                        && !reported.contains(&entry.record.instance)
+                });
+                self.note_gone(&gone);
+            }
+            _ => {}
+        }
+    }
+
+    fn services_known(&mut self, scope: &Scope) {
+        let known: Vec<Arc<str>> = match scope {
+            Scope::Services(services) => services.iter().cloned().collect(),
+            Scope::All => self.services.iter().cloned().collect(),
+            Scope::Region(_) => Vec::new(),
+        };
+        for service in known {
+            if self.services.contains(&service) {
+                self.known_services.insert(service.clone());
+                self.output_endpoints(&service);
+            }
+        }
+    }
+
+    pub(crate) fn receive_bye(&mut self, id: LinkId) {
+        let is_leaf = self.links.get(&id).is_some_and(|link| link.kind == LinkKind::LeafChild);
+        if is_leaf {
+            let now_ms = self.now_ms;
+            let gone = self.membership.mark_gone_where(now_ms, |e| e.via == Via::Link(id));
+            self.note_gone(&gone);
+        }
+        self.close_link(id);
+    }
+
+    /// The daemons behind a lost link have a while to appear elsewhere.
+    pub(crate) fn expire_child_records(&mut self, id: LinkId, kind: LinkKind) {
+        let grace_ms = match kind {
+            LinkKind::RelayChild => RELAY_GRACE_MS,
+            _ => LEAF_GRACE_MS,
+        };
+        let expires_ms = self.now_ms + grace_ms;
+        self.membership.expire_where(expires_ms, |entry| entry.via == Via::Link(id));
+    }
+
+    /// A new lead keeps the region's records for as long as relays need to report them.
+    pub(crate) fn expire_unreported_records(&mut self) {
+        let below: BTreeSet<Via> = self.vias_below().collect();
+        let region = self.own().region.clone();
+        let expires_ms = self.now_ms + RELAY_GRACE_MS;
+        self.membership.expire_where(expires_ms, |entry| {
+            entry.record.region == region && !below.contains(&entry.via)
+        });
+    }
+
+    fn note_gone(&mut self, instances: &[Arc<str>]) {
+        for instance in instances {
+            self.event(Event::EndpointGone, format!("instance={instance}"));
+        }
+    }
+
+    /// Sends changed records on, each link what it needs and has not sent itself.
+    pub(crate) fn run_records(&mut self) {
+        let expired = self.membership.tick(self.now_ms);
+        self.note_gone(&expired);
+        let changed = self.membership.take_changed();
+        if changed.is_empty() {
+            return;
+        }
+        let below: BTreeSet<Via> = self.vias_below().collect();
+        let mut batches: BTreeMap<LinkId, Vec<Endpoint>> = BTreeMap::new();
+        for (id, link) in &self.links {
+            if link.state != crate::link::LinkState::Joined {
+                continue;
+            }
+            let batch: Vec<Endpoint> = changed
+                .iter()
+                .filter(|entry| self.is_for_link(*id, link.kind, entry, &below))
+                .map(|entry| entry.record.clone())
+                .collect();
+            if !batch.is_empty() {
+                batches.insert(*id, batch);
+            }
+        }
+        for (id, records) in batches {
+            let scope = Scope::All;
+            self.send(id, Message::Records { scope, full: false, records });
+        }
+        let services: BTreeSet<Arc<str>> =
+            changed.iter().map(|entry| entry.record.service.clone()).collect();
+        for service in services {
+            self.output_endpoints(&service);
+        }
+    }
+
+    fn is_for_link(
+        &self,
+        id: LinkId,
+        kind: LinkKind,
+        entry: &Entry,
+        below: &BTreeSet<Via>,
+    ) -> bool {
+        let link = &self.links[&id];
+        let is_about_remote =
+            link.remote.as_ref().is_some_and(|remote| remote.instance == entry.record.instance);
+        if is_about_remote && entry.record.gone {
+            return true;
+        }
+        if entry.via == Via::Link(id) && !(kind.is_child() && entry.record.gone) {
+            return false;
+        }
+        match kind {
+            LinkKind::Parent => below.contains(&entry.via),
+            LinkKind::LeafChild => link.services.contains(&entry.record.service),
+            LinkKind::RelayChild => true,
+            LinkKind::Peer => entry.record.region == self.own().region,
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/roles.rs
@@ -0,0 +1,408 @@
+//! The leases of relays and leads, counted by each observer's own clock.
+//!
+//! A lease whose object has not changed for its time to live has lapsed. No correctness hangs on
+//! a role: versions are ordered and checked, and each endpoint record has one writer, so that two
+//! leads cost bytes and nothing else. See `docs/DISTRIBUTION.md`.
+
+use crate::message::RelayInfo;
+use crate::store::{LEADS_PREFIX, RELAYS_PREFIX, StoreFailure, StoreOp, StoreReply, StoredObject};
+use rand_chacha::ChaCha8Rng;
+use rand_core::RngCore;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use strum::Display;
+
+/// How long a lease holds without a renewal, in milliseconds of the observer's clock.
+pub const LEASE_TTL_MS: u64 = 6_000;
+/// How often a holder renews its lease, in milliseconds.
+pub const LEASE_RENEW_MS: u64 = 2_000;
+/// How often a relay looks at the leases, in milliseconds.
+const POLL_MS: u64 = 2_000;
+/// The longest pause between looks at the leases by a daemon without a parent, in milliseconds.
+const ORPHAN_POLL_MAX_MS: u64 = 8_000;
+/// Claims are spread over this time, in milliseconds, so that few daemons race for a lease.
+const CLAIM_SPREAD_MS: u64 = 600;
+/// How long a nomination by a relay counts, in milliseconds.
+const NOMINATION_MS: u64 = 5_000;
+/// Objects in one list of leases.
+const LIST_LIMIT: u32 = 1_000;
+
+/// A role that a lease stands for.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+#[strum(serialize_all = "lowercase")]
+pub enum Role {
+    Relay,
+    Lead,
+}
+
+/// The value of a lease's object.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    pub holder: RelayInfo,
+    pub renewal: u64,
+}
+
+/// A lease as this daemon saw it last.
+#[derive(Clone, Debug)]
+struct Observed {
+    object_version: u64,
+    lease: Lease,
+    unchanged_since_ms: u64,
+}
+
+/// A lease that this daemon holds.
+#[derive(Clone, Debug)]
+struct Held {
+    key: Arc<str>,
+    object_version: u64,
+    renewal: u64,
+    renew_due_ms: u64,
+}
+
+/// What a call to the store by this system was for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RoleCall {
+    ListRelays,
+    ListLeads,
+    Write { role: Role, key: Arc<str>, renewal: u64 },
+}
+
+/// What changed in the roles of this daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RoleChange {
+    Claimed { role: Role, key: Arc<str> },
+    Lost { role: Role, key: Arc<str> },
+}
+
+/// What this system needs to know of the rest of the daemon.
+#[derive(Clone, Copy, Debug)]
+pub struct RoleNeeds {
+    /// The daemon has no parent and should look for relays.
+    pub orphaned: bool,
+    /// The daemon is about to stop and must not claim anything.
+    pub leaving: bool,
+}
+
+/// The table of leases.
+#[derive(Debug)]
+pub struct Roles {
+    own: RelayInfo,
+    relays_per_zone: u16,
+    observed: BTreeMap<Arc<str>, Observed>,
+    held: BTreeMap<Role, Held>,
+    in_flight: BTreeSet<&'static str>,
+    poll_due_ms: u64,
+    orphan_polls: u32,
+    claim_due_ms: BTreeMap<Role, u64>,
+    nominated_until_ms: u64,
+    listed_once: bool,
+    changes: Vec<RoleChange>,
+}
+
+const IN_FLIGHT_RELAYS: &str = "relays";
+const IN_FLIGHT_LEADS: &str = "leads";
+const IN_FLIGHT_RELAY_WRITE: &str = "relay write";
+const IN_FLIGHT_LEAD_WRITE: &str = "lead write";
+
+impl Roles {
+    pub fn new(own: RelayInfo, relays_per_zone: u16) -> Self {
+        Self {
+            own,
+            relays_per_zone,
+            observed: BTreeMap::new(),
+            held: BTreeMap::new(),
+            in_flight: BTreeSet::new(),
+            poll_due_ms: 0,
+            orphan_polls: 0,
+            claim_due_ms: BTreeMap::new(),
+            nominated_until_ms: 0,
+            listed_once: false,
+            changes: Vec::new(),
+        }
+    }
+
+    pub fn holds(&self, role: Role) -> bool {
+        self.held.contains_key(&role)
+    }
+
+    /// Relays of this region whose leases have not lapsed, this daemon left out.
+    pub fn live_relays(&self, now_ms: u64) -> Vec<RelayInfo> {
+        let prefix = format!("{RELAYS_PREFIX}{}/", self.own.region);
+        self.live(&prefix, now_ms)
+    }
+
+    /// Leads of other regions whose leases have not lapsed.
+    pub fn live_peers(&self, now_ms: u64) -> Vec<RelayInfo> {
+        let mut leads = self.live(LEADS_PREFIX, now_ms);
+        leads.retain(|lead| lead.region != self.own.region);
+        leads
+    }
+
+    /// The lead of this region, if another daemon holds that lease.
+    pub fn live_lead(&self, now_ms: u64) -> Option<RelayInfo> {
+        let leads = self.live(LEADS_PREFIX, now_ms);
+        leads.into_iter().find(|lead| lead.region == self.own.region)
+    }
+
+    fn live(&self, prefix: &str, now_ms: u64) -> Vec<RelayInfo> {
+        self.observed
+            .range(Arc::from(prefix)..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .filter(|(_, observed)| !is_lapsed(observed, now_ms))
+            .map(|(_, observed)| observed.lease.holder.clone())
+            .filter(|holder| holder.instance != self.own.instance)
+            .collect()
+    }
+
+    /// Whether a lease of a relay in this daemon's zone is free to claim.
+    pub fn has_vacancy(&self, now_ms: u64) -> bool {
+        self.listed_once && self.vacant_slot(now_ms).is_some()
+    }
+
+    pub fn nominate(&mut self, now_ms: u64) {
+        self.nominated_until_ms = now_ms + NOMINATION_MS;
+        self.poll_due_ms = now_ms;
+    }
+
+    pub fn look_now(&mut self, now_ms: u64) {
+        self.poll_due_ms = self.poll_due_ms.min(now_ms);
+    }
+
+    pub fn take_changes(&mut self) -> Vec<RoleChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Gives up both leases without a write; others see them lapse.
+    pub fn resign(&mut self) {
+        for (role, held) in std::mem::take(&mut self.held) {
+            self.changes.push(RoleChange::Lost { role, key: held.key });
+        }
+    }
+
+    /// The calls to make now.
+    pub fn tick(
+        &mut self,
+        now_ms: u64,
+        needs: RoleNeeds,
+        rng: &mut ChaCha8Rng,
+    ) -> Vec<(RoleCall, StoreOp)> {
+        let mut calls = Vec::new();
+        if needs.leaving {
+            return calls;
+        }
+        let is_relay = self.holds(Role::Relay);
+        let nominated = now_ms < self.nominated_until_ms;
+        if !needs.orphaned {
+            self.orphan_polls = 0;
+        }
+        if (is_relay || nominated || needs.orphaned) && now_ms >= self.poll_due_ms {
+            self.poll_due_ms = now_ms + self.poll_pause_ms(is_relay, rng);
+            self.push_list(&mut calls, RoleCall::ListRelays);
+            if is_relay {
+                self.push_list(&mut calls, RoleCall::ListLeads);
+            }
+        }
+        if !is_relay && (needs.orphaned || nominated) {
+            self.claim(&mut calls, Role::Relay, now_ms, rng);
+        }
+        if is_relay && !self.holds(Role::Lead) {
+            self.claim(&mut calls, Role::Lead, now_ms, rng);
+        }
+        for role in [Role::Relay, Role::Lead] {
+            self.renew(&mut calls, role, now_ms);
+        }
+        calls
+    }
+
+    fn poll_pause_ms(&mut self, is_relay: bool, rng: &mut ChaCha8Rng) -> u64 {
+        if is_relay {
+            return POLL_MS;
+        }
+        let ceiling_ms = (500 << self.orphan_polls.min(4)).min(ORPHAN_POLL_MAX_MS);
+        self.orphan_polls += 1;
+        ceiling_ms / 2 + rng.next_u64() % ceiling_ms
+    }
+
+    fn push_list(&mut self, calls: &mut Vec<(RoleCall, StoreOp)>, call: RoleCall) {
+        let (flight, prefix): (_, Arc<str>) = match call {
+            RoleCall::ListLeads => (IN_FLIGHT_LEADS, LEADS_PREFIX.into()),
+            _ => (IN_FLIGHT_RELAYS, format!("{RELAYS_PREFIX}{}/", self.own.region).into()),
+        };
+        if self.in_flight.contains(flight) {
+            return;
+        }
+        self.in_flight.insert(flight);
+        calls.push((call, StoreOp::List { prefix, start_after: None, limit: LIST_LIMIT }));
+    }
+
+    fn claim(
+        &mut self,
+        calls: &mut Vec<(RoleCall, StoreOp)>,
+        role: Role,
+        now_ms: u64,
+        rng: &mut ChaCha8Rng,
+    ) {
+        let vacant = match role {
+            Role::Relay => self.vacant_slot(now_ms),
+            Role::Lead => self.vacant_lead(now_ms),
+        };
+        let Some((key, expected_version)) = vacant.filter(|_| self.listed_once) else {
+            self.claim_due_ms.remove(&role);
+            return;
+        };
+        let due_ms =
+            *self.claim_due_ms.entry(role).or_insert(now_ms + rng.next_u64() % CLAIM_SPREAD_MS);
+        if now_ms < due_ms || self.in_flight.contains(write_flight(role)) {
+            return;
+        }
+        self.claim_due_ms.remove(&role);
+        self.push_write(calls, role, key, 0, expected_version);
+    }
+
+    fn push_write(
+        &mut self,
+        calls: &mut Vec<(RoleCall, StoreOp)>,
+        role: Role,
+        key: Arc<str>,
+        renewal: u64,
+        expected_version: u64,
+    ) {
+        self.in_flight.insert(write_flight(role));
+        let lease = Lease { holder: self.own.clone(), renewal };
+        let value = serde_json::to_string(&lease).expect("a lease is always encodable").into();
+        let op = StoreOp::Put { key: key.clone(), value, expected_version };
+        calls.push((RoleCall::Write { role, key, renewal }, op));
+    }
+
+    fn renew(&mut self, calls: &mut Vec<(RoleCall, StoreOp)>, role: Role, now_ms: u64) {
+        let Some(held) = self.held.get_mut(&role) else { return };
+        if now_ms < held.renew_due_ms || self.in_flight.contains(write_flight(role)) {
+            return;
+        }
+        held.renew_due_ms = now_ms + LEASE_RENEW_MS;
+        let (key, version, renewal) = (held.key.clone(), held.object_version, held.renewal + 1);
+        self.push_write(calls, role, key, renewal, version);
+    }
+
+    fn vacant_slot(&self, now_ms: u64) -> Option<(Arc<str>, u64)> {
+        (0..self.relays_per_zone).find_map(|slot| {
+            let key = format!("{RELAYS_PREFIX}{}/{}/{slot}", self.own.region, self.own.zone);
+            self.vacancy(key.into(), now_ms)
+        })
+    }
+
+    fn vacant_lead(&self, now_ms: u64) -> Option<(Arc<str>, u64)> {
+        self.vacancy(format!("{LEADS_PREFIX}{}", self.own.region).into(), now_ms)
+    }
+
+    fn vacancy(&self, key: Arc<str>, now_ms: u64) -> Option<(Arc<str>, u64)> {
+        match self.observed.get(&key) {
+            None => Some((key, 0)),
+            Some(observed) if is_lapsed(observed, now_ms) => Some((key, observed.object_version)),
+            Some(_) => None,
+        }
+    }
+
+    /// Takes in the store's answer to one of this system's calls.
+    pub fn answered(
+        &mut self,
+        call: RoleCall,
+        result: Result<StoreReply, StoreFailure>,
+        now_ms: u64,
+    ) {
+        match call {
+            RoleCall::ListRelays => {
+                self.in_flight.remove(IN_FLIGHT_RELAYS);
+                self.observe(&format!("{RELAYS_PREFIX}{}/", self.own.region), result, now_ms);
+            }
+            RoleCall::ListLeads => {
+                self.in_flight.remove(IN_FLIGHT_LEADS);
+                self.observe(LEADS_PREFIX, result, now_ms);
+            }
+            RoleCall::Write { role, key, renewal } => {
+                self.in_flight.remove(write_flight(role));
+                self.written(role, key, renewal, result, now_ms);
+            }
+        }
+    }
+
+    fn observe(&mut self, prefix: &str, result: Result<StoreReply, StoreFailure>, now_ms: u64) {
+        let Ok(StoreReply::Listed { objects, .. }) = result else { return };
+        self.listed_once |= prefix != LEADS_PREFIX;
+        for object in objects {
+            self.observe_object(&object, now_ms);
+        }
+    }
+
+    fn observe_object(&mut self, object: &StoredObject, now_ms: u64) {
+        let Ok(lease) = serde_json::from_str::<Lease>(&object.value) else { return };
+        let known = self.observed.get(&object.key);
+        if known.is_some_and(|known| known.object_version >= object.object_version) {
+            return;
+        }
+        self.adopt_or_lose(object, &lease, now_ms);
+        let observed =
+            Observed { object_version: object.object_version, lease, unchanged_since_ms: now_ms };
+        self.observed.insert(object.key.clone(), observed);
+    }
+
+    /// A write whose answer was lost shows here as ours; a lease that another took, as lost.
+    fn adopt_or_lose(&mut self, object: &StoredObject, lease: &Lease, now_ms: u64) {
+        let role = role_of_key(&object.key);
+        let is_ours = lease.holder.instance == self.own.instance;
+        let held_here = self.held.get(&role).is_some_and(|held| held.key == object.key);
+        if is_ours && (held_here || !self.held.contains_key(&role)) {
+            self.hold(role, object.key.clone(), object.object_version, lease.renewal, now_ms);
+        } else if !is_ours && held_here {
+            self.held.remove(&role);
+            self.changes.push(RoleChange::Lost { role, key: object.key.clone() });
+        }
+    }
+
+    fn hold(&mut self, role: Role, key: Arc<str>, version: u64, renewal: u64, now_ms: u64) {
+        let held = Held {
+            key: key.clone(),
+            object_version: version,
+            renewal,
+            renew_due_ms: now_ms + LEASE_RENEW_MS,
+        };
+        if self.held.insert(role, held).is_none() {
+            self.changes.push(RoleChange::Claimed { role, key });
+        }
+    }
+
+    fn written(
+        &mut self,
+        role: Role,
+        key: Arc<str>,
+        renewal: u64,
+        result: Result<StoreReply, StoreFailure>,
+        now_ms: u64,
+    ) {
+        match result {
+            Ok(StoreReply::Written { object_version }) => {
+                let lease = Lease { holder: self.own.clone(), renewal };
+                let observed = Observed { object_version, lease, unchanged_since_ms: now_ms };
+                self.observed.insert(key.clone(), observed);
+                self.hold(role, key, object_version, renewal, now_ms);
+            }
+            Ok(_) | Err(_) => self.look_now(now_ms),
+        }
+    }
+}
+
+fn write_flight(role: Role) -> &'static str {
+    match role {
+        Role::Relay => IN_FLIGHT_RELAY_WRITE,
+        Role::Lead => IN_FLIGHT_LEAD_WRITE,
+    }
+}
+
+fn role_of_key(key: &str) -> Role {
+    if key.starts_with(LEADS_PREFIX) { Role::Lead } else { Role::Relay }
+}
+
+fn is_lapsed(observed: &Observed, now_ms: u64) -> bool {
+    now_ms >= observed.unchanged_since_ms + LEASE_TTL_MS
+}
--- /dev/null
+++ b/crates/core/src/sync.rs
@@ -0,0 +1,125 @@
+//! Handing versions to the daemons that lack them, and heartbeats that show who does.
+
+use crate::link::{HEARTBEAT_MS, LinkId, LinkKind, LinkState};
+use crate::log::{CatchUp, Offer};
+use crate::message::{EditBytes, Heartbeat, Message};
+use crate::node::Node;
+use std::sync::Arc;
+
+/// How long a parent or the lead of another region may be behind before it is sent what it lacks,
+/// in milliseconds. It has ways of its own, and each copy costs bytes.
+const HELP_AFTER_MS: u64 = 1_500;
+/// How long after versions were sent they may be sent again, in milliseconds.
+const RESEND_MS: u64 = 800;
+/// Heartbeats in a row whose digests must differ before all records are asked for.
+const MISMATCHES_MAX: u8 = 3;
+
+impl Node {
+    /// Sends each daemon on a link the versions that it lacks.
+    pub(crate) fn send_versions(&mut self) {
+        let held = self.log.version();
+        if held == 0 {
+            return;
+        }
+        let behind: Vec<LinkId> = self
+            .links
+            .iter()
+            .filter(|(_, link)| {
+                link.state == LinkState::Joined
+                    && link.kind != LinkKind::Probe
+                    && link.sent_version < held
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in behind {
+            self.send_versions_to(id);
+        }
+    }
+
+    fn send_versions_to(&mut self, id: LinkId) {
+        let now_ms = self.now_ms;
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let is_child = link.kind.is_child();
+        if !is_child {
+            let since_ms = *link.behind_since_ms.get_or_insert(now_ms);
+            if now_ms < since_ms + HELP_AFTER_MS {
+                return;
+            }
+        }
+        let Some(catch_up) = self.log.catch_up(link.sent_version) else { return };
+        let message = match catch_up {
+            CatchUp::Edits(edits) => Message::Edits(
+                edits.into_iter().map(|(version, raw)| EditBytes { version, raw }).collect(),
+            ),
+            CatchUp::Snapshot(_) if link.kind == LinkKind::Parent => return,
+            CatchUp::Snapshot(raw) => Message::Snapshot(raw),
+        };
+        link.sent_version = self.log.version();
+        link.sent_ms = now_ms;
+        self.send(id, message);
+    }
+
+    pub(crate) fn send_heartbeats(&mut self) {
+        let due: Vec<LinkId> = self
+            .links
+            .iter()
+            .filter(|(_, link)| {
+                link.state == LinkState::Joined && self.now_ms >= link.heartbeat_due_ms
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in due {
+            let heartbeat = Heartbeat {
+                version: self.log.version(),
+                newest_version: self.newest_version,
+                records_digest: self.digest_for(id),
+                ready: self.is_ready(),
+                refused_versions: self.refused_versions(),
+            };
+            if let Some(link) = self.links.get_mut(&id) {
+                link.heartbeat_due_ms = self.now_ms + HEARTBEAT_MS;
+            }
+            self.send(id, Message::Heartbeat(heartbeat));
+        }
+    }
+
+    pub(crate) fn receive_heartbeat(&mut self, id: LinkId, heartbeat: &Heartbeat) {
+        self.newest_version = self.newest_version.max(heartbeat.newest_version);
+        let expected = self.digest_from(id);
+        let (held, now_ms) = (self.log.version(), self.now_ms);
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.remote_version = heartbeat.version;
+        link.remote_ready = heartbeat.ready;
+        link.remote_refused_versions = heartbeat.refused_versions;
+        if heartbeat.version >= held {
+            link.behind_since_ms = None;
+            link.sent_version = heartbeat.version;
+        } else if now_ms >= link.sent_ms + RESEND_MS {
+            link.sent_version = heartbeat.version;
+        }
+        if expected == heartbeat.records_digest {
+            link.mismatches = 0;
+            return;
+        }
+        link.mismatches += 1;
+        if link.mismatches < MISMATCHES_MAX {
+            return;
+        }
+        link.mismatches = 0;
+        self.event(crate::event::Event::RecordsResynced, format!("link={:x}", id.0));
+        self.send(id, Message::ResyncAsk);
+    }
+
+    pub(crate) fn receive_edits(&mut self, edits: Vec<EditBytes>) {
+        for EditBytes { version, raw } in edits {
+            self.newest_version = self.newest_version.max(version);
+            if self.take_edit(version, &raw) == Offer::Gap {
+                return;
+            }
+        }
+    }
+
+    pub(crate) fn receive_snapshot(&mut self, raw: &Arc<[u8]>) {
+        self.take_snapshot(raw);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/cmd/check.rs
@@ -0,0 +1,24 @@
+//! `pomeloreachd check`.
+
+use crate::error::DaemonError;
+use crate::settings::Settings;
+use argh::FromArgs;
+use std::path::PathBuf;
+
+/// Check a settings file, and the certificates it names, without starting anything.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct Check {
+    /// the settings file, in YAML
+    #[argh(option, short = 's')]
+    settings: PathBuf,
+}
+
+impl Check {
+    pub fn run(self) -> Result<(), DaemonError> {
+        let settings = Settings::read(&self.settings)?;
+        crate::quic::check_keys(&settings.tls)?;
+        println!("{} is valid", self.settings.display());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/cmd/mod.rs
@@ -0,0 +1,31 @@
+//! The daemon's command line.
+
+mod check;
+mod run;
+
+use crate::error::DaemonError;
+use argh::FromArgs;
+
+/// The pomeloreach daemon: proxy for callers, door of the target beside it, member of the tree
+/// that distributes the operators' tables. See docs/OPERATING.md.
+#[derive(FromArgs)]
+pub struct Daemon {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Run(run::Run),
+    Check(check::Check),
+}
+
+impl Daemon {
+    pub fn run(self) -> Result<(), DaemonError> {
+        match self.command {
+            Command::Run(command) => command.run(),
+            Command::Check(command) => command.run(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/cmd/run.rs
@@ -0,0 +1,23 @@
+//! `pomeloreachd run`.
+
+use crate::error::DaemonError;
+use crate::settings::Settings;
+use argh::FromArgs;
+use std::path::PathBuf;
+
+/// Run the daemon until it gets SIGTERM or SIGINT, then drain and stop.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "run")]
+pub struct Run {
+    /// the settings file, in YAML
+    #[argh(option, short = 's')]
+    settings: PathBuf,
+}
+
+impl Run {
+    pub fn run(self) -> Result<(), DaemonError> {
+        let settings = Settings::read(&self.settings)?;
+        crate::logging::start(settings.log_level);
+        crate::shared::run(settings)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/error.rs
@@ -0,0 +1,20 @@
+//! Why the daemon cannot start.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use thiserror::Error;
+
+/// An error for the person who starts the daemon.
+#[derive(Debug, Error)]
+pub enum DaemonError {
+    #[error("Cannot read {path}: {source}.", path = path.display())]
+    Read { path: PathBuf, source: std::io::Error },
+    #[error("{path} is not a valid settings file: {reason}", path = path.display())]
+    Settings { path: PathBuf, reason: String },
+    #[error("{path} holds no usable key or certificate: {reason}.", path = path.display())]
+    Keys { path: PathBuf, reason: String },
+    #[error("Cannot listen on {addr}: {source}.")]
+    Listen { addr: SocketAddr, source: std::io::Error },
+    #[error("Cannot wait for signals: {0}.")]
+    Signals(std::io::Error),
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,31 @@
+//! `pomeloreachd`, the daemon beside each target.
+
+mod calls;
+mod cmd;
+mod control;
+mod directory;
+mod door;
+mod error;
+mod links;
+mod logging;
+mod metrics;
+mod operators;
+mod peers;
+mod proxy;
+mod quic;
+mod settings;
+mod shared;
+mod targets;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let command: cmd::Daemon = argh::from_env();
+    match command.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("pomeloreachd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/operators.rs
@@ -0,0 +1,170 @@
+//! The port for operators and for the target beside the daemon; see `docs/API.md`.
+
+use crate::control::ControlInput;
+use crate::links::ControlBytes;
+use crate::shared::{InForce, Shared};
+use crate::targets;
+use async_channel::Sender;
+use async_net::{TcpListener, TcpStream};
+use http_types::{Method, Request, Response};
+use pomeloreach_core::api::Announcement;
+use pomeloreach_core::code::ResultCode;
+use pomeloreach_core::dump::NodeDump;
+use pomeloreach_core::edit::{EditRequest, VALUE_BYTES_MAX};
+use pomeloreach_wire::clock::{sleep_ms, within_ms};
+use pomeloreach_wire::http::{self, error_response, json_response};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// The largest body on this port, in bytes.
+const BODY_BYTES_MAX: usize = VALUE_BYTES_MAX;
+/// How long an operator may take to send a body, in milliseconds.
+const BODY_TIMEOUT_MS: u64 = 10_000;
+/// How long the daemon may take for an answer, in milliseconds.
+const ANSWER_TIMEOUT_MS: u64 = 15_000;
+/// Connections at once; more are closed.
+const CONNECTIONS_MAX: u32 = 256;
+/// The pause after a failed accept, in milliseconds.
+const ACCEPT_PAUSE_MS: u64 = 50;
+
+/// The state of the daemon, for people.
+#[derive(Serialize)]
+struct Dump {
+    node: NodeDump,
+    control: ControlBytes,
+    call_connections: usize,
+    door_in_flight: u16,
+    caller_requests: u32,
+    uptime_ms: u64,
+    in_force: Vec<InForce>,
+}
+
+/// Accepts operators and the target.
+pub async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+    let connections = Arc::new(AtomicU32::new(0));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep_ms(ACCEPT_PAUSE_MS).await;
+            continue;
+        };
+        if connections.load(Ordering::Relaxed) >= CONNECTIONS_MAX {
+            continue;
+        }
+        connections.fetch_add(1, Ordering::Relaxed);
+        let connections = connections.clone();
+        let task_shared = shared.clone();
+        shared.spawn(async move {
+            serve(task_shared, stream).await;
+            connections.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+async fn serve(shared: Arc<Shared>, stream: TcpStream) {
+    http::serve(stream, |request| {
+        let shared = shared.clone();
+        async move {
+            let handling = within_ms(ANSWER_TIMEOUT_MS, handle(&shared, request)).await;
+            handling
+                .unwrap_or_else(|| error_response(ResultCode::TimedOut, "the daemon took too long"))
+        }
+    })
+    .await;
+}
+
+async fn handle(shared: &Arc<Shared>, mut request: Request) -> Response {
+    let path = request.url().path().to_string();
+    match (request.method(), path.as_str()) {
+        (Method::Get, "/config") => ask(shared, |reply| ControlInput::Config { reply }).await,
+        (Method::Get, "/status") => ask(shared, |reply| ControlInput::Status { reply }).await,
+        (Method::Get, "/dump") => dump(shared).await,
+        (Method::Get, "/ready") => ready(shared),
+        (Method::Post, "/edits") => match body::<EditRequest>(&mut request).await {
+            Ok(edit) => publish(shared, edit).await,
+            Err(response) => response,
+        },
+        (Method::Post, "/announce") => match body::<Announcement>(&mut request).await {
+            Ok(announcement) => announce(shared, announcement).await,
+            Err(response) => response,
+        },
+        (Method::Post, "/drain") => json_response(200, &targets::drain(shared).await),
+        (Method::Get, "/drain") => json_response(200, &targets::answer(shared)),
+        (method, path) => {
+            error_response(ResultCode::NotFound, format!("there is no {method} {path}"))
+        }
+    }
+}
+
+async fn body<T: DeserializeOwned>(request: &mut Request) -> Result<T, Response> {
+    let reading = http::read_request_body(request, BODY_BYTES_MAX);
+    let bytes = match within_ms(BODY_TIMEOUT_MS, reading).await {
+        None => return Err(error_response(ResultCode::TimedOut, "the body took too long")),
+        Some(Err(error)) => return Err(http::body_error_response(error)),
+        Some(Ok(bytes)) => bytes,
+    };
+    serde_json::from_slice(&bytes)
+        .map_err(|error| error_response(ResultCode::Malformed, error.to_string()))
+}
+
+async fn ask<T: Serialize>(
+    shared: &Shared,
+    input: impl FnOnce(Sender<T>) -> ControlInput,
+) -> Response {
+    match ask_control(shared, input).await {
+        Some(answer) => json_response(200, &answer),
+        None => stopping(),
+    }
+}
+
+async fn ask_control<T>(
+    shared: &Shared,
+    input: impl FnOnce(Sender<T>) -> ControlInput,
+) -> Option<T> {
+    let (reply, answer) = async_channel::bounded(1);
+    shared.inputs.send(input(reply)).await.ok()?;
+    answer.recv().await.ok()
+}
+
+fn stopping() -> Response {
+    error_response(ResultCode::DaemonNotReady, "the daemon is stopping")
+}
+
+async fn publish(shared: &Shared, request: EditRequest) -> Response {
+    let answer = ask_control(shared, |reply| ControlInput::Publish { request, reply }).await;
+    match answer {
+        Some(answer) => json_response(answer.code.http_status(), &answer),
+        None => stopping(),
+    }
+}
+
+async fn announce(shared: &Shared, announcement: Announcement) -> Response {
+    if let Err(reason) = targets::check(&announcement) {
+        return error_response(ResultCode::Malformed, reason);
+    }
+    json_response(200, &targets::announce(shared, announcement).await)
+}
+
+fn ready(shared: &Shared) -> Response {
+    match shared.routes() {
+        Some(routes) if !shared.is_leaving() => json_response(200, &routes.version()),
+        _ => error_response(ResultCode::DaemonNotReady, "no configuration is in force yet"),
+    }
+}
+
+async fn dump(shared: &Shared) -> Response {
+    let Some(node) = ask_control(shared, |reply| ControlInput::Dump { reply }).await else {
+        return stopping();
+    };
+    let dump = Dump {
+        node,
+        control: shared.links.control_bytes(),
+        call_connections: shared.peers.count(),
+        door_in_flight: shared.door.in_flight(),
+        caller_requests: shared.caller_requests().load(Ordering::Relaxed),
+        uptime_ms: shared.clock.now_ms(),
+        in_force: shared.in_force(),
+    };
+    json_response(200, &dump)
+}
--- /dev/null
+++ b/crates/daemon/src/proxy.rs
@@ -0,0 +1,317 @@
+//! The port for callers: finds the route, makes the attempts, and answers truly.
+
+use crate::calls;
+use crate::directory::{changed_entries, entries_of};
+use crate::door::{self, DEADLINE_HEADER, is_forwarded};
+use crate::shared::{Shared, lock};
+use async_net::{TcpListener, TcpStream};
+use http_types::{Body, Request, Response, StatusCode};
+use pomeloreach_core::attempt::{Attempts, Next};
+use pomeloreach_core::balancer::Evidenced;
+use pomeloreach_core::budget::RetryBudget;
+use pomeloreach_core::call::{BODY_BYTES_MAX, CallRequest, Header};
+use pomeloreach_core::code::{Outcome, ResultCode};
+use pomeloreach_core::endpoint::Endpoint;
+use pomeloreach_core::matching::{MatchedRoute, is_method_idempotent};
+use pomeloreach_wire::clock::{sleep_ms, within_ms};
+use pomeloreach_wire::http::{self, BodyError};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// How long a caller may take to send a body, in milliseconds.
+const BODY_TIMEOUT_MS: u64 = 30_000;
+/// How long a request waits while its pool has no target at all, in milliseconds.
+const NO_TARGET_WAIT_MS: u64 = 3_000;
+/// How often a connection is looked at whose caller has sent more than one request.
+const HANG_UP_LOOK_MS: u64 = 50;
+/// The header with the number of the result code.
+const CODE_HEADER: &str = "x-pomeloreach-code";
+/// The header with `answered`, `not-run` or `unknown`.
+const OUTCOME_HEADER: &str = "x-pomeloreach-outcome";
+/// The header with the version of the configuration that the request went by.
+const VERSION_HEADER: &str = "x-pomeloreach-version";
+/// The header with the number of attempts.
+const ATTEMPTS_HEADER: &str = "x-pomeloreach-attempts";
+
+/// Accepts callers.
+pub async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => shared.spawn(serve(shared.clone(), stream)),
+            Err(_) => sleep_ms(HANG_UP_LOOK_MS).await,
+        }
+    }
+}
+
+async fn serve(shared: Arc<Shared>, stream: TcpStream) {
+    let caller = stream.clone();
+    http::serve(stream, |request| {
+        let (shared, caller) = (shared.clone(), caller.clone());
+        async move {
+            let counted = Counted::new(&shared);
+            let answering = handle(&shared, request);
+            let response = futures_lite::future::or(answering, hung_up(&caller)).await;
+            drop(counted);
+            response
+        }
+    })
+    .await;
+}
+
+/// Counts a request for as long as it is being answered.
+struct Counted<'a>(&'a Shared);
+
+impl<'a> Counted<'a> {
+    fn new(shared: &'a Shared) -> Self {
+        shared.caller_requests().fetch_add(1, Ordering::Relaxed);
+        Self(shared)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.caller_requests().fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Ends when the caller has closed its connection; what it asked for is then cancelled.
+async fn hung_up(caller: &TcpStream) -> Response {
+    let mut byte = [0];
+    while !matches!(caller.peek(&mut byte).await, Ok(0) | Err(_)) {
+        sleep_ms(HANG_UP_LOOK_MS).await;
+    }
+    Response::new(StatusCode::BadRequest)
+}
+
+/// What becomes of one request.
+struct Result {
+    code: ResultCode,
+    answer: Option<calls::Answer>,
+    attempts: u8,
+    version: u64,
+}
+
+impl Result {
+    fn refusal(code: ResultCode, version: u64) -> Self {
+        Self { code, answer: None, attempts: 0, version }
+    }
+}
+
+async fn handle(shared: &Arc<Shared>, mut request: Request) -> Response {
+    let started_ms = shared.clock.now_ms();
+    let reading = http::read_request_body(&mut request, BODY_BYTES_MAX);
+    let result = match within_ms(BODY_TIMEOUT_MS, reading).await {
+        None | Some(Err(BodyError::Cut)) => Result::refusal(ResultCode::RequestCut, 0),
+        Some(Err(BodyError::TooLarge)) => Result::refusal(ResultCode::RequestTooLarge, 0),
+        Some(Ok(body)) => route(shared, &request, body, started_ms).await,
+    };
+    shared.metrics.count(&format!("requests.{}", result.code), 1);
+    shared.metrics.time_ms("requests.time", shared.clock.now_ms() - started_ms);
+    respond(result)
+}
+
+async fn route(shared: &Arc<Shared>, request: &Request, body: Vec<u8>, started_ms: u64) -> Result {
+    let routes = match shared.routes() {
+        Some(routes) if !shared.is_leaving() => routes,
+        _ => return Result::refusal(ResultCode::DaemonNotReady, 0),
+    };
+    let version = routes.version();
+    let method = request.method().to_string();
+    let url = request.url();
+    let host = url.host_str().unwrap_or("");
+    let Some(matched) = routes.find(host, url.path(), &method) else {
+        return Result::refusal(ResultCode::NoRoute, version);
+    };
+    let route_deadline_ms = u64::from(matched.route.deadline_ms);
+    let asked_ms = request.header(DEADLINE_HEADER).and_then(|v| v.last().as_str().parse().ok());
+    let deadline_ms = started_ms + asked_ms.unwrap_or(route_deadline_ms).min(route_deadline_ms);
+    let head = CallRequest {
+        instance: "".into(),
+        deadline_ms: 0,
+        method: method.into(),
+        path: path_and_query(request).into(),
+        headers: forwarded_headers(request),
+        body_bytes: body.len() as u64,
+    };
+    attempt(shared, matched, version, head, Arc::new(body), deadline_ms).await
+}
+
+fn path_and_query(request: &Request) -> String {
+    let url = request.url();
+    match url.query() {
+        Some(query) => format!("{}?{query}", url.path()),
+        None => url.path().to_string(),
+    }
+}
+
+fn forwarded_headers(request: &Request) -> Vec<Header> {
+    let all = request.iter().flat_map(|(name, values)| {
+        values
+            .iter()
+            .map(|value| Header { name: name.as_str().into(), value: value.as_str().into() })
+    });
+    all.filter(|header| is_forwarded(&header.name) && &*header.name != DEADLINE_HEADER).collect()
+}
+
+async fn attempt(
+    shared: &Arc<Shared>,
+    matched: &MatchedRoute,
+    version: u64,
+    mut head: CallRequest,
+    body: Arc<Vec<u8>>,
+    deadline_ms: u64,
+) -> Result {
+    let pool = &matched.pool;
+    let is_idempotent = matched.route.idempotent || is_method_idempotent(&head.method);
+    let mut attempts = Attempts::new(is_idempotent, pool.attempts_max, deadline_ms);
+    with_budget(shared, matched, |budget, _| budget.earn(pool.retry_budget_percent));
+    loop {
+        let now_ms = shared.clock.now_ms();
+        let left_ms = deadline_ms.saturating_sub(now_ms);
+        let Some(target) = choose(shared, matched, &attempts, left_ms).await else {
+            let code = attempts.final_code(ResultCode::NoTarget);
+            return Result { code, answer: None, attempts: attempts.made(), version };
+        };
+        let timeout_ms = attempts.begin(target.instance.clone(), shared.clock.now_ms());
+        head.instance = target.instance.clone();
+        head.deadline_ms = timeout_ms;
+        let answer = attempt_one(shared, &target, &head, &body, timeout_ms).await;
+        let code = answer.as_ref().map_or_else(|code| *code, |answer| answer.head.code);
+        let next =
+            with_budget(shared, matched, |budget, now_ms| attempts.ended(code, now_ms, budget));
+        match next {
+            Next::Retry => shared.metrics.count("requests.retries", 1),
+            Next::Answer(code) => {
+                let answer = answer.ok().filter(|_| code == ResultCode::Answered);
+                return Result { code, answer, attempts: attempts.made(), version };
+            }
+        }
+    }
+}
+
+/// Chooses a target, and gives one that is about to appear a little time for it.
+async fn choose(
+    shared: &Shared,
+    matched: &MatchedRoute,
+    attempts: &Attempts,
+    left_ms: u64,
+) -> Option<Endpoint> {
+    let (pool, service) = (&matched.pool, &matched.pool.service);
+    let until_ms = shared.clock.now_ms() + (left_ms / 2).min(NO_TARGET_WAIT_MS);
+    let mut entries = entries_of(shared, service, left_ms).await?;
+    loop {
+        let now_ms = shared.clock.now_ms();
+        let chosen = lock(&shared.balancer).choose(pool, &entries, attempts.tried(), now_ms);
+        if chosen.is_some() {
+            return chosen;
+        }
+        let wait_ms = until_ms.checked_sub(now_ms)?;
+        entries = changed_entries(shared, service, Some(&entries), wait_ms).await?;
+    }
+}
+
+fn with_budget<T>(
+    shared: &Shared,
+    matched: &MatchedRoute,
+    use_budget: impl FnOnce(&mut RetryBudget, u64) -> T,
+) -> T {
+    let now_ms = shared.clock.now_ms();
+    let mut budgets = lock(&shared.budgets);
+    let pool_name = matched.route.pool.clone();
+    let budget = budgets.entry(pool_name).or_insert_with(|| RetryBudget::new(now_ms));
+    use_budget(budget, now_ms)
+}
+
+/// Notes the end of an attempt with the balancer, also when the caller hangs up during it.
+struct Noted<'a> {
+    shared: &'a Shared,
+    target: &'a Endpoint,
+    began_ms: u64,
+    ended: bool,
+}
+
+impl Noted<'_> {
+    fn end(&mut self, evidenced: Evidenced, reported_in_flight: Option<u16>) {
+        self.ended = true;
+        let now_ms = self.shared.clock.now_ms();
+        let latency_ms = now_ms - self.began_ms;
+        let instance = &self.target.instance;
+        lock(&self.shared.balancer).ended(
+            instance,
+            evidenced,
+            latency_ms,
+            reported_in_flight,
+            now_ms,
+        );
+    }
+}
+
+impl Drop for Noted<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(Evidenced::Alive, None);
+        }
+    }
+}
+
+async fn attempt_one(
+    shared: &Arc<Shared>,
+    target: &Endpoint,
+    head: &CallRequest,
+    body: &Arc<Vec<u8>>,
+    timeout_ms: u64,
+) -> std::result::Result<calls::Answer, ResultCode> {
+    let began_ms = shared.clock.now_ms();
+    lock(&shared.balancer).began(&target.instance, began_ms);
+    let mut noted = Noted { shared, target, began_ms, ended: false };
+    let answer = if target.instance == shared.own.instance {
+        Ok(door::run(shared, head, body.to_vec()).await)
+    } else {
+        calls::make(shared, target, head, body, timeout_ms).await
+    };
+    match &answer {
+        Ok(answer) => {
+            let evidenced = match answer.head.code {
+                ResultCode::TargetUnreachable
+                | ResultCode::WrongInstance
+                | ResultCode::AnswerLost
+                | ResultCode::AnswerCut
+                | ResultCode::DeadlineAfterRun => Evidenced::Failed,
+                _ => Evidenced::Alive,
+            };
+            noted.end(evidenced, Some(answer.head.in_flight));
+        }
+        Err(_) => noted.end(Evidenced::Failed, None),
+    }
+    answer
+}
+
+fn respond(result: Result) -> Response {
+    let outcome = result.code.outcome();
+    let mut response = match result.answer {
+        Some(answer) => {
+            let status = StatusCode::try_from(answer.head.http_status);
+            let mut response = Response::new(status.unwrap_or(StatusCode::BadGateway));
+            for Header { name, value } in &answer.head.headers {
+                response.append_header(name.as_ref(), value.as_ref());
+            }
+            response.set_body(Body::from_bytes(answer.body));
+            if response.header("content-type").is_some() && answer.head.headers.is_empty() {
+                response.remove_header("content-type");
+            }
+            response
+        }
+        None => {
+            let reason = match outcome {
+                Outcome::NotRun => "the request was not run",
+                _ => "the request may have run, its answer was lost",
+            };
+            http::error_response(result.code, reason)
+        }
+    };
+    response.insert_header(CODE_HEADER, result.code.number().to_string());
+    response.insert_header(OUTCOME_HEADER, outcome.to_string());
+    response.insert_header(VERSION_HEADER, result.version.to_string());
+    response.insert_header(ATTEMPTS_HEADER, result.attempts.to_string());
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,151 @@
+//! The settings of a daemon, read and checked in this one place; see `docs/SETTINGS.md`.
+
+use crate::error::DaemonError;
+use pomeloreach_core::check::is_name;
+use serde::{Deserialize, Deserializer, de::Error};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use strum::{Display, EnumString};
+
+/// The most relays in one availability zone.
+const RELAYS_PER_ZONE_MAX: u16 = 64;
+/// The most daemons that one relay feeds.
+const CHILDREN_MAX: u16 = 2_000;
+/// The most threads that run tasks.
+const WORKER_THREADS_MAX: u16 = 64;
+/// The longest drain, in milliseconds.
+const DRAIN_MS_MAX: u64 = 3_600_000;
+
+/// How much is logged.
+#[derive(Clone, Copy, Debug, Display, EnumString, PartialEq, Eq, Deserialize)]
+#[strum(serialize_all = "lowercase")]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    Error,
+    Warn,
+    Info,
+    Debug,
+}
+
+/// Everything a daemon is told when it starts.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The name of the instance; each start adds a suffix of its own.
+    #[serde(deserialize_with = "name")]
+    pub name: Arc<str>,
+    #[serde(deserialize_with = "name")]
+    pub region: Arc<str>,
+    #[serde(deserialize_with = "name")]
+    pub zone: Arc<str>,
+    /// Where other daemons reach this one, over UDP.
+    pub control_addr: SocketAddr,
+    /// Where callers send their requests.
+    pub caller_addr: SocketAddr,
+    /// Where operators and the target beside the daemon talk to it.
+    pub operator_addr: SocketAddr,
+    /// The platform's object API.
+    pub platform_addr: SocketAddr,
+    /// Daemons to ask when the platform's store is away.
+    #[serde(default)]
+    pub seed_addrs: Vec<SocketAddr>,
+    pub tls: Tls,
+    /// Where metrics go, as statsd over UDP; none are sent without it.
+    #[serde(default)]
+    pub metrics_addr: Option<SocketAddr>,
+    #[serde(default = "default_log_level")]
+    pub log_level: LogLevel,
+    #[serde(default = "default_relays_per_zone", deserialize_with = "relays_per_zone")]
+    pub relays_per_zone: u16,
+    #[serde(default = "default_children_max", deserialize_with = "children_max")]
+    pub children_max: u16,
+    #[serde(default = "default_worker_threads", deserialize_with = "worker_threads")]
+    pub worker_threads: u16,
+    /// How long requests in flight may hold up a stop, in milliseconds.
+    #[serde(default = "default_drain_max_ms", deserialize_with = "drain_max_ms")]
+    pub drain_max_ms: u64,
+}
+
+/// The keys of the fleet.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tls {
+    /// The certificate that signed every daemon's.
+    pub ca_path: PathBuf,
+    pub cert_path: PathBuf,
+    pub key_path: PathBuf,
+}
+
+impl Settings {
+    pub fn read(path: &Path) -> Result<Self, DaemonError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| DaemonError::Read { path: path.to_path_buf(), source })?;
+        serde_saphyr::from_str(&text).map_err(|error| DaemonError::Settings {
+            path: path.to_path_buf(),
+            reason: error.to_string(),
+        })
+    }
+}
+
+fn default_log_level() -> LogLevel {
+    LogLevel::Info
+}
+
+fn default_relays_per_zone() -> u16 {
+    2
+}
+
+fn default_children_max() -> u16 {
+    400
+}
+
+fn default_worker_threads() -> u16 {
+    2
+}
+
+fn default_drain_max_ms() -> u64 {
+    30_000
+}
+
+fn name<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Arc<str>, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    if is_name(&text) {
+        return Ok(text.into());
+    }
+    Err(D::Error::custom(format!(
+        "'{text}' is not a name of 1 to 63 characters a-z, 0-9, '-', '.'"
+    )))
+}
+
+fn ranged<'de, D>(deserializer: D, min: u64, max: u64) -> Result<u64, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    let value = u64::deserialize(deserializer)?;
+    if (min..=max).contains(&value) {
+        return Ok(value);
+    }
+    Err(D::Error::custom(format!("{value} is outside {min} to {max}")))
+}
+
+fn ranged_u16<'de, D: Deserializer<'de>>(deserializer: D, max: u16) -> Result<u16, D::Error> {
+    let value = ranged(deserializer, 1, max.into())?;
+    u16::try_from(value).map_err(D::Error::custom)
+}
+
+fn relays_per_zone<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u16, D::Error> {
+    ranged_u16(deserializer, RELAYS_PER_ZONE_MAX)
+}
+
+fn children_max<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u16, D::Error> {
+    ranged_u16(deserializer, CHILDREN_MAX)
+}
+
+fn worker_threads<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u16, D::Error> {
+    ranged_u16(deserializer, WORKER_THREADS_MAX)
+}
+
+fn drain_max_ms<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    ranged(deserializer, 0, DRAIN_MS_MAX)
+}
--- /dev/null
+++ b/crates/daemon/src/shared.rs
@@ -0,0 +1,228 @@
+//! What the tasks of a daemon share, and the order in which it starts and stops.
+
+use crate::control::{Control, ControlInput};
+use crate::directory::Directory;
+use crate::door::Door;
+use crate::error::DaemonError;
+use crate::links::Links;
+use crate::logging::log_event;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::settings::Settings;
+use crate::targets::TargetTable;
+use async_channel::Sender;
+use async_executor::Executor;
+use async_net::TcpListener;
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use pomeloreach_core::balancer::Balancer;
+use pomeloreach_core::budget::RetryBudget;
+use pomeloreach_core::event::Event;
+use pomeloreach_core::matching::RouteTable;
+use pomeloreach_core::message::RelayInfo;
+use pomeloreach_core::node::{Input, Node, NodeSettings};
+use pomeloreach_wire::clock::{Clock, sleep_ms};
+use rand_chacha::ChaCha8Rng;
+use rand_core::{OsRng, RngCore, SeedableRng, TryRngCore};
+use serde::Serialize;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Inputs that may wait for the control loop.
+const INPUTS_MAX: usize = 8_192;
+/// How often a stopping daemon looks whether its requests have ended, in milliseconds.
+const DRAIN_LOOK_MS: u64 = 20;
+/// How long the last messages have to leave, in milliseconds.
+const FAREWELL_MS: u64 = 100;
+
+/// Versions whose times are remembered.
+const IN_FORCE_KEPT: usize = 256;
+
+/// When a version came in force on this daemon.
+#[derive(Clone, Debug, Serialize)]
+pub struct InForce {
+    pub version: u64,
+    pub unix_ms: u64,
+}
+
+/// Everything that the tasks of a daemon share.
+pub struct Shared {
+    pub settings: Settings,
+    pub own: RelayInfo,
+    pub clock: Clock,
+    pub executor: Arc<Executor<'static>>,
+    pub inputs: Sender<ControlInput>,
+    pub metrics: Metrics,
+    pub directory: Directory,
+    pub balancer: Mutex<Balancer>,
+    pub budgets: Mutex<BTreeMap<Arc<str>, RetryBudget>>,
+    pub peers: Peers,
+    pub links: Links,
+    pub door: Door,
+    pub target: Mutex<TargetTable>,
+    /// When the last versions came in force, by the wall clock.
+    in_force: Mutex<VecDeque<InForce>>,
+    /// The routes in force; absent until the daemon is ready.
+    routes: Mutex<Option<Arc<RouteTable>>>,
+    /// Requests of callers that this daemon has not answered yet.
+    caller_requests: AtomicU32,
+    leaving: AtomicBool,
+}
+
+impl Shared {
+    pub fn routes(&self) -> Option<Arc<RouteTable>> {
+        lock(&self.routes).clone()
+    }
+
+    pub fn set_routes(&self, routes: RouteTable) {
+        self.note_in_force(routes.version());
+        let mut held = lock(&self.routes);
+        let held_version = held.as_ref().map(|held| held.version());
+        assert!(Some(routes.version()) > held_version, "what is in force never moves back");
+        self.metrics.gauge("config.version", routes.version());
+        *held = Some(Arc::new(routes));
+    }
+
+    fn note_in_force(&self, version: u64) {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let unix_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
+        let mut in_force = lock(&self.in_force);
+        if in_force.len() >= IN_FORCE_KEPT {
+            in_force.pop_front();
+        }
+        in_force.push_back(InForce { version, unix_ms });
+    }
+
+    pub fn in_force(&self) -> Vec<InForce> {
+        lock(&self.in_force).iter().cloned().collect()
+    }
+
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    pub fn caller_requests(&self) -> &AtomicU32 {
+        &self.caller_requests
+    }
+
+    pub fn spawn(&self, future: impl Future<Output = ()> + Send + 'static) {
+        self.executor.spawn(future).detach();
+    }
+
+    pub async fn input(&self, input: Input) {
+        self.inputs.send(ControlInput::Node(input)).await.ok();
+    }
+}
+
+/// Locks a table; a panic elsewhere leaves it as usable as it was.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Runs a daemon until it is told to stop.
+pub fn run(settings: Settings) -> Result<(), DaemonError> {
+    let executor = Arc::new(Executor::new());
+    let (stop_workers, stopped) = async_channel::bounded::<()>(1);
+    for _ in 1..settings.worker_threads {
+        let (executor, stopped) = (executor.clone(), stopped.clone());
+        std::thread::spawn(move || {
+            async_io::block_on(executor.run(async {
+                stopped.recv().await.ok();
+            }));
+        });
+    }
+    let result = async_io::block_on(executor.run(serve(settings, executor.clone())));
+    drop(stop_workers);
+    result
+}
+
+async fn serve(settings: Settings, executor: Arc<Executor<'static>>) -> Result<(), DaemonError> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(DaemonError::Signals)?;
+    let endpoint = crate::quic::bind(settings.control_addr, &settings.tls, &executor)?;
+    let callers = listen(settings.caller_addr).await?;
+    let operators = listen(settings.operator_addr).await?;
+    let (inputs, received) = async_channel::bounded(INPUTS_MAX);
+    let mut rng = ChaCha8Rng::seed_from_u64(random_seed());
+    let own = own_info(&settings, &mut rng);
+    let clock = Clock::default();
+    let balancer = Balancer::new(own.region.clone(), own.zone.clone(), rng.next_u64());
+    let shared = Arc::new(Shared {
+        clock,
+        executor,
+        inputs,
+        metrics: Metrics::new(settings.metrics_addr),
+        directory: Directory::default(),
+        balancer: Mutex::new(balancer),
+        budgets: Mutex::new(BTreeMap::new()),
+        peers: Peers::new(endpoint.clone()),
+        links: Links::default(),
+        door: Door::default(),
+        target: Mutex::new(TargetTable::default()),
+        in_force: Mutex::new(VecDeque::new()),
+        routes: Mutex::new(None),
+        caller_requests: AtomicU32::new(0),
+        leaving: AtomicBool::new(false),
+        own,
+        settings,
+    });
+    let node = Node::new(node_settings(&shared), rng.next_u64(), clock.now_ms());
+    let control = Control::new(shared.clone(), node, received);
+    shared.spawn(control.run());
+    shared.spawn(crate::peers::accept(shared.clone(), endpoint.clone()));
+    shared.spawn(crate::proxy::accept(shared.clone(), callers));
+    shared.spawn(crate::operators::accept(shared.clone(), operators));
+    shared.spawn(crate::targets::watch_lease(shared.clone()));
+    log_event(Event::DaemonStarted, &format!("instance={}", shared.own.instance));
+    signals.next().await;
+    drain(&shared).await;
+    endpoint.close(0u32.into(), b"stopped");
+    endpoint.wait_idle().await;
+    Ok(())
+}
+
+async fn listen(addr: SocketAddr) -> Result<TcpListener, DaemonError> {
+    TcpListener::bind(addr).await.map_err(|source| DaemonError::Listen { addr, source })
+}
+
+fn random_seed() -> u64 {
+    OsRng.try_next_u64().expect("the system gives random numbers")
+}
+
+/// Each start has an instance name of its own, so that a successor is never taken for it.
+fn own_info(settings: &Settings, rng: &mut ChaCha8Rng) -> RelayInfo {
+    RelayInfo {
+        instance: format!("{}.{:08x}", settings.name, rng.next_u32()).into(),
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+        addr: settings.control_addr,
+    }
+}
+
+fn node_settings(shared: &Shared) -> NodeSettings {
+    NodeSettings {
+        own: shared.own.clone(),
+        seeds: shared.settings.seed_addrs.clone(),
+        relays_per_zone: shared.settings.relays_per_zone,
+        children_max: shared.settings.children_max.into(),
+    }
+}
+
+/// Takes no new work, lets what is in flight end, and says goodbye.
+async fn drain(shared: &Arc<Shared>) {
+    shared.leaving.store(true, Ordering::Relaxed);
+    shared.input(Input::Leave).await;
+    crate::targets::drain(shared).await;
+    let until_ms = shared.clock.now_ms() + shared.settings.drain_max_ms;
+    while shared.clock.now_ms() < until_ms {
+        let waiting = shared.caller_requests.load(Ordering::Relaxed);
+        if waiting == 0 && shared.door.in_flight() == 0 {
+            break;
+        }
+        sleep_ms(DRAIN_LOOK_MS).await;
+    }
+    shared.input(Input::Stop).await;
+    sleep_ms(FAREWELL_MS).await;
+}
--- /dev/null
+++ b/crates/standins/examples/store.rs
@@ -0,0 +1,23 @@
+//! The stand-in of the platform's object API as a process.
+
+use argh::FromArgs;
+use async_executor::Executor;
+use pomeloreach_standins::serving::run_on_threads;
+use pomeloreach_standins::store_server::StoreServer;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Serve the stand-in of the platform's object API.
+#[derive(FromArgs)]
+struct Store {
+    /// the address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+}
+
+fn main() -> std::io::Result<()> {
+    let store: Store = argh::from_env();
+    let executor = Arc::new(Executor::new());
+    let server = Arc::new(StoreServer::default());
+    run_on_threads(2, &executor, server.run(executor.clone(), store.listen))
+}
--- /dev/null
+++ b/crates/standins/src/fleet.rs
@@ -0,0 +1,372 @@
+//! Starts the real processes on the loopback address, for the demo, tests and measurements.
+
+use crate::keys;
+use crate::store_server::{Counters, Faults};
+use crate::target::{Behaviour, Runs};
+use async_io::block_on;
+use http_types::Method;
+use pomeloreach_core::api::{EditAnswer, StatusAnswer};
+use pomeloreach_core::config::Config;
+use pomeloreach_core::edit::{Change, EditRequest};
+use pomeloreach_wire::http::{self, HttpError, WholeResponse};
+use rustix::process::{Pid, Signal, kill_process};
+use serde::Serialize;
+use serde_json::Value;
+use std::fs::File;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+/// How long calls of the harness may take, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 20_000;
+/// The largest answer, in bytes.
+const ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
+/// The pause between looks, in milliseconds.
+const LOOK_MS: u64 = 20;
+/// How long a process may take to stop, in milliseconds.
+const STOP_MS: u64 = 10_000;
+
+/// Where a daemon stands.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub name: String,
+    pub region: String,
+    pub zone: String,
+}
+
+impl Place {
+    pub fn new(name: &str, region: &str, zone: &str) -> Self {
+        Self { name: name.into(), region: region.into(), zone: zone.into() }
+    }
+}
+
+/// A process that is ended with the fleet.
+pub struct Process {
+    pub name: String,
+    child: Child,
+    command: Vec<String>,
+    log_path: PathBuf,
+}
+
+impl Process {
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).ok();
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Waits for the end and returns whether it was clean.
+    pub fn wait(&mut self) -> bool {
+        let until = Instant::now() + Duration::from_millis(STOP_MS);
+        while Instant::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.success();
+            }
+            std::thread::sleep(Duration::from_millis(LOOK_MS));
+        }
+        false
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log_path).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A daemon with its addresses.
+pub struct Daemon {
+    pub place: Place,
+    pub process: Process,
+    pub control_addr: SocketAddr,
+    pub caller_addr: SocketAddr,
+    pub operator_addr: SocketAddr,
+}
+
+/// A target with its address.
+pub struct TargetProcess {
+    pub process: Process,
+    pub addr: SocketAddr,
+}
+
+/// The store, daemons and targets of one experiment.
+pub struct Fleet {
+    pub folder: PathBuf,
+    pub store_addr: SocketAddr,
+    pub store: Option<Process>,
+    pub daemons: Vec<Daemon>,
+    pub targets: Vec<TargetProcess>,
+    pub relays_per_zone: u16,
+    pub worker_threads: u16,
+    seeds: Vec<SocketAddr>,
+}
+
+static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
+
+impl Fleet {
+    /// Makes a folder with keys, and starts the store.
+    pub fn start() -> Self {
+        let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
+        let name = format!("pomeloreach-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("the temporary folder can be made");
+        keys::write(&folder).expect("keys can be made");
+        let store_addr = free_tcp_addr();
+        let mut fleet = Self {
+            folder,
+            store_addr,
+            store: None,
+            daemons: Vec::new(),
+            targets: Vec::new(),
+            relays_per_zone: 2,
+            worker_threads: 2,
+            seeds: Vec::new(),
+        };
+        let command = vec![example("store"), "--listen".into(), store_addr.to_string()];
+        fleet.store = Some(fleet.spawn("store", command));
+        wait_for("the store listens", 10_000, || fleet.counters().is_some());
+        fleet
+    }
+
+    fn spawn(&self, name: &str, command: Vec<String>) -> Process {
+        let log_path = self.folder.join(format!("{name}.log"));
+        let log = File::options().create(true).append(true).open(&log_path);
+        let log = log.expect("the log can be made");
+        let child = Command::new(&command[0])
+            .args(&command[1..])
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("the log can be shared"))
+            .stderr(log)
+            .spawn();
+        let child = child.unwrap_or_else(|error| panic!("{command:?} cannot start: {error}"));
+        Process { name: name.into(), child, command, log_path }
+    }
+
+    /// Starts a process again as it was.
+    pub fn respawn(&self, process: &mut Process) {
+        *process = self.spawn(&process.name.clone(), process.command.clone());
+    }
+
+    pub fn add_daemon(&mut self, place: Place) -> usize {
+        let control_addr = free_udp_addr();
+        let caller_addr = free_tcp_addr();
+        let operator_addr = free_tcp_addr();
+        if self.seeds.len() < 3 {
+            self.seeds.push(control_addr);
+        }
+        let settings_path = self.folder.join(format!("{}.yaml", place.name));
+        let addrs = [control_addr, caller_addr, operator_addr];
+        std::fs::write(&settings_path, self.settings(&place, addrs)).expect("settings are written");
+        let settings_path = settings_path.display().to_string();
+        let command = vec![binary("pomeloreachd"), "run".into(), "-s".into(), settings_path];
+        let process = self.spawn(&place.name, command);
+        self.daemons.push(Daemon { place, process, control_addr, caller_addr, operator_addr });
+        self.daemons.len() - 1
+    }
+
+    fn settings(&self, place: &Place, [control, caller, operator]: [SocketAddr; 3]) -> String {
+        let folder = self.folder.display();
+        let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        format!(
+            "name: {}\nregion: {}\nzone: {}\ncontrol_addr: \"{control}\"\n\
+             caller_addr: \"{caller}\"\noperator_addr: \"{operator}\"\n\
+             platform_addr: \"{}\"\nseed_addrs: [{}]\nrelays_per_zone: {}\nworker_threads: {}\n\
+             tls:\n  ca_path: {folder}/ca.pem\n  cert_path: {folder}/cert.pem\n  \
+             key_path: {folder}/key.pem\n",
+            place.name,
+            place.region,
+            place.zone,
+            self.store_addr,
+            seeds.join(", "),
+            self.relays_per_zone,
+            self.worker_threads,
+        )
+    }
+
+    /// Starts a target beside a daemon.
+    pub fn add_target(&mut self, daemon: usize, service: &str, slots: u16) -> usize {
+        let addr = free_tcp_addr();
+        let daemon = &self.daemons[daemon];
+        let name = format!("target-{}", daemon.place.name);
+        let command = vec![
+            example("target"),
+            "--service".into(),
+            service.into(),
+            "--port".into(),
+            addr.port().to_string(),
+            "--slots".into(),
+            slots.to_string(),
+            "--daemon".into(),
+            daemon.operator_addr.to_string(),
+        ];
+        let process = self.spawn(&name, command);
+        self.targets.push(TargetProcess { process, addr });
+        self.targets.len() - 1
+    }
+
+    pub fn set_faults(&self, faults: &Faults) {
+        post(self.store_addr, "/faults", faults).expect("the store takes faults");
+    }
+
+    pub fn counters(&self) -> Option<Counters> {
+        get(self.store_addr, "/counters").ok()?.json().ok()
+    }
+
+    pub fn set_behaviour(&self, target: usize, behaviour: &Behaviour) {
+        post(self.targets[target].addr, "/behaviour", behaviour).expect("the target takes it");
+    }
+
+    pub fn runs(&self, target: usize) -> Runs {
+        let answer = get(self.targets[target].addr, "/runs").expect("the target counts");
+        answer.json().expect("runs are readable")
+    }
+
+    /// Runs of a request id over all targets that answer.
+    pub fn runs_of(&self, id: &str) -> u32 {
+        let runs = self.targets.iter().filter_map(|target| get(target.addr, "/runs").ok());
+        let runs = runs.filter_map(|answer| answer.json::<Runs>().ok());
+        runs.map(|runs| runs.by_id.get(id).copied().unwrap_or(0)).sum()
+    }
+
+    pub fn config(&self, daemon: usize) -> Option<Config> {
+        get(self.daemons[daemon].operator_addr, "/config").ok()?.json().ok()
+    }
+
+    pub fn status(&self, daemon: usize) -> Option<StatusAnswer> {
+        get(self.daemons[daemon].operator_addr, "/status").ok()?.json().ok()
+    }
+
+    pub fn dump(&self, daemon: usize) -> Option<Value> {
+        get(self.daemons[daemon].operator_addr, "/dump").ok()?.json().ok()
+    }
+
+    /// The version in force on a daemon, if it is ready.
+    pub fn version(&self, daemon: usize) -> Option<u64> {
+        let answer = get(self.daemons[daemon].operator_addr, "/ready").ok()?;
+        if answer.status == 200 { answer.json().ok() } else { None }
+    }
+
+    pub fn edit(
+        &self,
+        daemon: usize,
+        edit_id: &str,
+        changes: Vec<Change>,
+    ) -> Result<EditAnswer, HttpError> {
+        let request = EditRequest { edit_id: edit_id.into(), author: "tester".into(), changes };
+        let answer = post(self.daemons[daemon].operator_addr, "/edits", &request)?;
+        answer.json().map_err(|error| HttpError::Lost(error.to_string()))
+    }
+
+    pub fn wait_version(&self, version: u64, within_ms: u64) {
+        wait_for(&format!("version {version} is in force everywhere"), within_ms, || {
+            (0..self.daemons.len()).all(|daemon| self.version(daemon) >= Some(version))
+        });
+    }
+
+    pub fn wait_ready(&self, within_ms: u64) {
+        wait_for("every daemon is ready", within_ms, || {
+            (0..self.daemons.len()).all(|daemon| self.version(daemon).is_some())
+        });
+    }
+
+    /// Sends a request to a daemon's caller port.
+    pub fn request(
+        &self,
+        daemon: usize,
+        method: Method,
+        host: &str,
+        path: &str,
+        id: &str,
+        body: &str,
+    ) -> Result<WholeResponse, HttpError> {
+        let addr = self.daemons[daemon].caller_addr;
+        let mut request = http::request(method, addr, path)?;
+        request.insert_header("host", host);
+        request.insert_header("x-request-id", id);
+        let body = body.as_bytes().to_vec();
+        block_on(http::call(addr, request, body, ANSWER_BYTES_MAX, CALL_TIMEOUT_MS))
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("the logs are in {}", self.folder.display());
+            return;
+        }
+        self.targets.clear();
+        self.daemons.clear();
+        self.store = None;
+        std::fs::remove_dir_all(&self.folder).ok();
+    }
+}
+
+/// Waits until something holds, or panics with its name.
+pub fn wait_for(what: &str, within_ms: u64, holds: impl Fn() -> bool) {
+    let until = Instant::now() + Duration::from_millis(within_ms);
+    while !holds() {
+        assert!(Instant::now() < until, "not within {within_ms} ms: {what}");
+        std::thread::sleep(Duration::from_millis(LOOK_MS));
+    }
+}
+
+pub fn get(addr: SocketAddr, path: &str) -> Result<WholeResponse, HttpError> {
+    let request = http::request(Method::Get, addr, path)?;
+    block_on(http::call(addr, request, Vec::new(), ANSWER_BYTES_MAX, CALL_TIMEOUT_MS))
+}
+
+pub fn post<T: Serialize>(
+    addr: SocketAddr,
+    path: &str,
+    value: &T,
+) -> Result<WholeResponse, HttpError> {
+    let request = http::request(Method::Post, addr, path)?;
+    let body = serde_json::to_vec(value).expect("values are encodable");
+    block_on(http::call(addr, request, body, ANSWER_BYTES_MAX, CALL_TIMEOUT_MS))
+}
+
+fn free_tcp_addr() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
+    listener.local_addr().expect("it has an address")
+}
+
+fn free_udp_addr() -> SocketAddr {
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
+    socket.local_addr().expect("it has an address")
+}
+
+/// The folder that cargo builds into, found from this process's own program.
+fn target_folder() -> PathBuf {
+    let program = std::env::current_exe().expect("this program has a path");
+    let folder = program.parent().expect("it is in a folder");
+    match folder.file_name().and_then(|name| name.to_str()) {
+        Some("deps" | "examples") => folder.parent().map(Path::to_path_buf).expect("has a parent"),
+        _ => folder.to_path_buf(),
+    }
+}
+
+pub fn binary(name: &str) -> String {
+    target_folder().join(name).display().to_string()
+}
+
+pub fn example(name: &str) -> String {
+    target_folder().join("examples").join(name).display().to_string()
+}
--- /dev/null
+++ b/crates/standins/src/load.rs
@@ -0,0 +1,132 @@
+//! An open-loop load: requests are sent when they are due, whether or not earlier ones ended.
+
+use async_executor::Executor;
+use hdrhistogram::Histogram;
+use http_types::Method;
+use pomeloreach_wire::clock::sleep_ms;
+use pomeloreach_wire::http::{self, HttpError};
+use rand_chacha::ChaCha8Rng;
+use rand_core::{RngCore, SeedableRng};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// How long a request may take, in milliseconds.
+const TIMEOUT_MS: u64 = 20_000;
+/// The largest answer, in bytes.
+const ANSWER_BYTES_MAX: usize = 4 * 1024 * 1024;
+
+/// What to send.
+#[derive(Clone, Debug)]
+pub struct LoadSettings {
+    /// Daemons, or targets, that requests are sent to in turn.
+    pub addrs: Vec<SocketAddr>,
+    pub host: String,
+    pub path: String,
+    pub is_idempotent: bool,
+    pub requests_per_s: f64,
+    pub duration_ms: u64,
+    pub seed: u64,
+}
+
+/// What came back.
+#[derive(Clone, Debug)]
+pub struct LoadResult {
+    pub sent: u64,
+    pub answered: u64,
+    pub by_code: BTreeMap<String, u64>,
+    pub attempts: u64,
+    /// From the time a request was due to the end of its answer, in microseconds.
+    pub latency_us: Histogram<u64>,
+    /// Ids that were sent, for counting their runs.
+    pub ids: Vec<String>,
+}
+
+impl LoadResult {
+    fn new() -> Self {
+        let latency_us = Histogram::new(3).expect("three digits are valid");
+        Self {
+            sent: 0,
+            answered: 0,
+            by_code: BTreeMap::new(),
+            attempts: 0,
+            latency_us,
+            ids: Vec::new(),
+        }
+    }
+}
+
+/// Sends the load and waits for every answer.
+pub async fn run(executor: &Arc<Executor<'static>>, settings: LoadSettings) -> LoadResult {
+    let result = Arc::new(Mutex::new(LoadResult::new()));
+    let mut rng = ChaCha8Rng::seed_from_u64(settings.seed);
+    let started = Instant::now();
+    let mut due = Duration::ZERO;
+    let mut number = 0u64;
+    let mut tasks = Vec::new();
+    while due < Duration::from_millis(settings.duration_ms) {
+        let wait = due.saturating_sub(started.elapsed());
+        if !wait.is_zero() {
+            async_io::Timer::after(wait).await;
+        }
+        let due_at = started + due;
+        tasks.push(executor.spawn(send_one(settings.clone(), number, due_at, result.clone())));
+        number += 1;
+        due += exponential(&mut rng, settings.requests_per_s);
+    }
+    for task in tasks {
+        task.await;
+    }
+    sleep_ms(1).await;
+    let result = result.lock().unwrap().clone();
+    result
+}
+
+fn exponential(rng: &mut ChaCha8Rng, per_s: f64) -> Duration {
+    let uniform = (rng.next_u32() as f64 + 1.0) / (f64::from(u32::MAX) + 1.0);
+    Duration::from_secs_f64(-uniform.ln() / per_s)
+}
+
+async fn send_one(
+    settings: LoadSettings,
+    number: u64,
+    due_at: Instant,
+    result: Arc<Mutex<LoadResult>>,
+) {
+    let id = format!("load-{}-{number}", settings.seed);
+    let addr = settings.addrs[number as usize % settings.addrs.len()];
+    let answer = send(&settings, addr, &id).await;
+    let latency_us = due_at.elapsed().as_micros() as u64;
+    let mut result = result.lock().unwrap();
+    result.sent += 1;
+    result.ids.push(id);
+    let code = match &answer {
+        Ok(response) => {
+            let attempts = response.header("x-pomeloreach-attempts");
+            result.attempts += attempts.and_then(|value| value.parse().ok()).unwrap_or(1);
+            let code = response.header("x-pomeloreach-code").unwrap_or("direct");
+            let is_good = matches!(code, "2000" | "direct") && response.status == 200;
+            if is_good {
+                result.answered += 1;
+                result.latency_us.record(latency_us).ok();
+            }
+            if response.status == 500 { "target 500".to_string() } else { code.to_string() }
+        }
+        Err(_) => "no answer".to_string(),
+    };
+    *result.by_code.entry(code).or_default() += 1;
+}
+
+async fn send(
+    settings: &LoadSettings,
+    addr: SocketAddr,
+    id: &str,
+) -> Result<http::WholeResponse, HttpError> {
+    let method = if settings.is_idempotent { Method::Get } else { Method::Post };
+    let mut request = http::request(method, addr, &settings.path)?;
+    request.insert_header("host", &settings.host);
+    request.insert_header("x-request-id", id);
+    let body = if settings.is_idempotent { Vec::new() } else { b"cut".to_vec() };
+    http::call(addr, request, body, ANSWER_BYTES_MAX, TIMEOUT_MS).await
+}
--- /dev/null
+++ b/crates/standins/src/serving.rs
@@ -0,0 +1,74 @@
+//! Runs a stand-in's server until it is told to stop.
+
+use async_executor::Executor;
+use async_io::block_on;
+use async_net::{TcpListener, TcpStream};
+use http_types::{Request, Response};
+use pomeloreach_wire::http;
+use serde::de::DeserializeOwned;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The largest body a stand-in takes, in bytes.
+pub const BODY_BYTES_MAX: usize = 4 * 1024 * 1024;
+
+/// Runs a future together with everything spawned on its executor, on some threads.
+pub fn run_on_threads<T>(
+    threads: usize,
+    executor: &Arc<Executor<'static>>,
+    main: impl Future<Output = T>,
+) -> T {
+    let (_stop, stopped) = async_channel::bounded::<()>(1);
+    for _ in 1..threads {
+        let (executor, stopped) = (executor.clone(), stopped.clone());
+        std::thread::spawn(move || {
+            block_on(executor.run(async {
+                stopped.recv().await.ok();
+            }));
+        });
+    }
+    block_on(executor.run(main))
+}
+
+/// Serves HTTP; the handler gets the connection too, to see whether the caller hangs up.
+pub async fn serve<F, Fut>(
+    executor: Arc<Executor<'static>>,
+    addr: SocketAddr,
+    handler: F,
+) -> std::io::Result<()>
+where
+    F: Fn(Request, TcpStream) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response> + Send + 'static,
+{
+    let listener = TcpListener::bind(addr).await?;
+    loop {
+        let (stream, _) = listener.accept().await?;
+        let handler = handler.clone();
+        let connection = stream.clone();
+        executor
+            .spawn(http::serve(stream, move |request| handler(request, connection.clone())))
+            .detach();
+    }
+}
+
+/// The value of a query parameter.
+pub fn query(request: &Request, name: &str) -> Option<String> {
+    let mut pairs = request.url().query_pairs();
+    pairs.find(|(known, _)| known == name).map(|(_, value)| value.into_owned())
+}
+
+pub fn query_number(request: &Request, name: &str) -> u64 {
+    query(request, name).and_then(|value| value.parse().ok()).unwrap_or(0)
+}
+
+/// A JSON body, or an answer that says what is wrong with it.
+pub async fn json_body<T: DeserializeOwned>(request: &mut Request) -> Result<T, Response> {
+    let bytes = http::read_request_body(request, BODY_BYTES_MAX)
+        .await
+        .map_err(http::body_error_response)?;
+    serde_json::from_slice(&bytes).map_err(|error| {
+        let code = pomeloreach_core::code::ResultCode::Malformed;
+        http::error_response(code, error.to_string())
+    })
+}
--- /dev/null
+++ b/crates/standins/src/store.rs
@@ -0,0 +1,103 @@
+//! The table behind the stand-in of the platform's object API.
+
+use pomeloreach_core::store::{StoreOp, StoreReply, StoredObject};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+/// Changes that a watch can still see.
+const HISTORY_MAX: usize = 4_096;
+
+/// Objects with their versions, and the order of changes.
+#[derive(Clone, Debug, Default)]
+pub struct StoreTable {
+    revision: u64,
+    objects: BTreeMap<Arc<str>, StoredObject>,
+    history: VecDeque<(u64, StoredObject)>,
+    calls: u64,
+}
+
+impl StoreTable {
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Calls so far; a waiting watch counts as one.
+    pub fn calls(&self) -> u64 {
+        self.calls
+    }
+
+    pub fn count_call(&mut self) {
+        self.calls += 1;
+    }
+
+    pub fn objects(&self) -> impl Iterator<Item = &StoredObject> {
+        self.objects.values()
+    }
+
+    /// Carries out one request at once. A watch returns what has changed, which may be nothing.
+    pub fn apply(&mut self, op: &StoreOp) -> StoreReply {
+        match op {
+            StoreOp::Get { key } => match self.objects.get(key) {
+                Some(object) => StoreReply::Object(object.clone()),
+                None => StoreReply::Absent,
+            },
+            StoreOp::Put { key, value, expected_version } => {
+                self.put(key, value, *expected_version)
+            }
+            StoreOp::Delete { key } => self.delete(key),
+            StoreOp::List { prefix, start_after, limit } => {
+                let objects = self.list(prefix, start_after.as_deref(), *limit as usize);
+                StoreReply::Listed { objects, revision: self.revision }
+            }
+            StoreOp::Watch { prefix, after_revision, .. } => {
+                let objects = self.changed(prefix, *after_revision);
+                StoreReply::Changed { objects, revision: self.revision }
+            }
+        }
+    }
+
+    fn put(&mut self, key: &Arc<str>, value: &Arc<str>, expected_version: u64) -> StoreReply {
+        let held_version = self.objects.get(key).map_or(0, |object| object.object_version);
+        if held_version != expected_version {
+            return StoreReply::Conflict;
+        }
+        self.revision += 1;
+        let object =
+            StoredObject { key: key.clone(), object_version: self.revision, value: value.clone() };
+        self.objects.insert(key.clone(), object.clone());
+        self.history.push_back((self.revision, object));
+        if self.history.len() > HISTORY_MAX {
+            self.history.pop_front();
+        }
+        StoreReply::Written { object_version: self.revision }
+    }
+
+    fn delete(&mut self, key: &Arc<str>) -> StoreReply {
+        if self.objects.remove(key).is_none() {
+            return StoreReply::Absent;
+        }
+        self.revision += 1;
+        StoreReply::Written { object_version: self.revision }
+    }
+
+    fn list(&self, prefix: &str, start_after: Option<&str>, limit: usize) -> Vec<StoredObject> {
+        self.objects
+            .range(Arc::from(prefix)..)
+            .map(|(_, object)| object)
+            .take_while(|object| object.key.starts_with(prefix))
+            .filter(|object| start_after.is_none_or(|after| *object.key > *after))
+            .take(limit)
+            .cloned()
+            .collect()
+    }
+
+    fn changed(&self, prefix: &str, after_revision: u64) -> Vec<StoredObject> {
+        self.history
+            .iter()
+            .filter(|(revision, object)| {
+                *revision > after_revision && object.key.starts_with(prefix)
+            })
+            .map(|(_, object)| object.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/standins/src/store_server.rs
@@ -0,0 +1,239 @@
+//! The stand-in of the platform's object API over HTTP, with faults that can be set.
+
+use crate::serving::{BODY_BYTES_MAX, json_body, query, query_number, serve};
+use crate::store::StoreTable;
+use async_executor::Executor;
+use async_net::TcpStream;
+use event_listener::Event;
+use http_types::{Method, Request, Response, StatusCode};
+use pomeloreach_core::code::ResultCode;
+use pomeloreach_core::store::{StoreOp, StoreReply};
+use pomeloreach_wire::clock::{sleep_ms, within_ms};
+use pomeloreach_wire::http::{self, error_response, json_response};
+use pomeloreach_wire::platform::{OBJECT_VERSION_HEADER, ObjectList, WriteAnswer};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// The longest wait of a watch, in milliseconds.
+const WATCH_MS_MAX: u64 = 30_000;
+/// The largest value, in bytes.
+const VALUE_BYTES_MAX: usize = 1024 * 1024;
+
+/// What goes wrong with the store.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every call fails before it has an effect.
+    pub outage: bool,
+    /// Every answer is this late, in milliseconds.
+    pub delay_ms: u64,
+    /// So many writes take effect without an answer.
+    pub lose_answers: u32,
+    /// Watches see nothing.
+    pub stale_watches: bool,
+    /// Watches see changes in reverse order.
+    pub reorder_watches: bool,
+}
+
+/// What was counted, and when objects were accepted.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Counters {
+    pub calls: u64,
+    pub calls_by_kind: BTreeMap<String, u64>,
+    pub answer_bytes: u64,
+    pub accepted_unix_ms: BTreeMap<String, u64>,
+}
+
+#[derive(Default)]
+struct State {
+    table: StoreTable,
+    faults: Faults,
+    counters: Counters,
+}
+
+/// The server.
+#[derive(Default)]
+pub struct StoreServer {
+    state: Mutex<State>,
+    changed: Event,
+}
+
+impl StoreServer {
+    pub async fn run(
+        self: Arc<Self>,
+        executor: Arc<Executor<'static>>,
+        addr: SocketAddr,
+    ) -> std::io::Result<()> {
+        serve(executor, addr, move |request, _: TcpStream| {
+            let server = self.clone();
+            async move { server.handle(request).await }
+        })
+        .await
+    }
+
+    async fn handle(&self, mut request: Request) -> Response {
+        let path = request.url().path().to_string();
+        match (request.method(), path.as_str()) {
+            (Method::Post, "/faults") => match json_body::<Faults>(&mut request).await {
+                Ok(faults) => {
+                    self.state.lock().unwrap().faults = faults;
+                    Response::new(StatusCode::Ok)
+                }
+                Err(response) => response,
+            },
+            (Method::Get, "/counters") => {
+                let state = self.state.lock().unwrap();
+                json_response(200, &state.counters)
+            }
+            _ => match operation(&mut request, &path).await {
+                Some(op) => self.call(op).await,
+                None => error_response(ResultCode::Malformed, "no such operation"),
+            },
+        }
+    }
+
+    async fn call(&self, op: StoreOp) -> Response {
+        let delay_ms = {
+            let mut state = self.state.lock().unwrap();
+            state.counters.calls += 1;
+            *state.counters.calls_by_kind.entry(kind(&op).to_string()).or_default() += 1;
+            state.faults.delay_ms
+        };
+        if delay_ms > 0 {
+            sleep_ms(delay_ms).await;
+        }
+        if self.state.lock().unwrap().faults.outage {
+            return Response::new(StatusCode::ServiceUnavailable);
+        }
+        let reply = match &op {
+            StoreOp::Watch { wait_ms, .. } => self.watch(&op, u64::from(*wait_ms)).await,
+            _ => self.apply(&op),
+        };
+        let response = respond(reply);
+        let bytes = response.len().unwrap_or(0) as u64;
+        let mut state = self.state.lock().unwrap();
+        state.counters.answer_bytes += bytes;
+        let is_write = matches!(op, StoreOp::Put { .. } | StoreOp::Delete { .. });
+        if is_write && state.faults.lose_answers > 0 {
+            state.faults.lose_answers -= 1;
+            return Response::new(StatusCode::GatewayTimeout);
+        }
+        response
+    }
+
+    fn apply(&self, op: &StoreOp) -> StoreReply {
+        let mut state = self.state.lock().unwrap();
+        let reply = state.table.apply(op);
+        if let (StoreOp::Put { key, .. }, StoreReply::Written { .. }) = (op, &reply) {
+            state.counters.accepted_unix_ms.insert(key.to_string(), unix_ms());
+            self.changed.notify(usize::MAX);
+        }
+        reply
+    }
+
+    async fn watch(&self, op: &StoreOp, wait_ms: u64) -> StoreReply {
+        let waiting = async {
+            loop {
+                let changed = self.changed.listen();
+                if let Some(reply) = self.watched(op) {
+                    return reply;
+                }
+                changed.await;
+            }
+        };
+        match within_ms(wait_ms.min(WATCH_MS_MAX), waiting).await {
+            Some(reply) => reply,
+            None => {
+                let revision = self.state.lock().unwrap().table.revision();
+                StoreReply::Changed { objects: Vec::new(), revision }
+            }
+        }
+    }
+
+    fn watched(&self, op: &StoreOp) -> Option<StoreReply> {
+        let mut state = self.state.lock().unwrap();
+        if state.faults.stale_watches {
+            return None;
+        }
+        let reverse = state.faults.reorder_watches;
+        match state.table.apply(op) {
+            StoreReply::Changed { mut objects, revision } if !objects.is_empty() => {
+                if reverse {
+                    objects.reverse();
+                }
+                Some(StoreReply::Changed { objects, revision })
+            }
+            _ => None,
+        }
+    }
+}
+
+fn kind(op: &StoreOp) -> &'static str {
+    match op {
+        StoreOp::Get { .. } => "get",
+        StoreOp::Put { .. } => "put",
+        StoreOp::Delete { .. } => "delete",
+        StoreOp::List { .. } => "list",
+        StoreOp::Watch { .. } => "watch",
+    }
+}
+
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
+
+async fn operation(request: &mut Request, path: &str) -> Option<StoreOp> {
+    if path == "/watch" {
+        return Some(StoreOp::Watch {
+            prefix: query(request, "prefix")?.into(),
+            after_revision: query_number(request, "after_revision"),
+            wait_ms: u32::try_from(query_number(request, "wait_ms")).ok()?,
+        });
+    }
+    if path == "/objects" {
+        let start_after = query(request, "start_after").filter(|after| !after.is_empty());
+        return Some(StoreOp::List {
+            prefix: query(request, "prefix")?.into(),
+            start_after: start_after.map(Into::into),
+            limit: u32::try_from(query_number(request, "limit")).ok()?,
+        });
+    }
+    let key: Arc<str> = path.strip_prefix("/objects/")?.into();
+    match request.method() {
+        Method::Get => Some(StoreOp::Get { key }),
+        Method::Delete => Some(StoreOp::Delete { key }),
+        Method::Put => {
+            let condition = request.header(OBJECT_VERSION_HEADER)?.last().as_str().parse().ok()?;
+            let body = http::read_request_body(request, BODY_BYTES_MAX).await.ok()?;
+            if body.len() > VALUE_BYTES_MAX {
+                return None;
+            }
+            let value = String::from_utf8(body).ok()?.into();
+            Some(StoreOp::Put { key, value, expected_version: condition })
+        }
+        _ => None,
+    }
+}
+
+fn respond(reply: StoreReply) -> Response {
+    match reply {
+        StoreReply::Object(object) => {
+            let mut response = Response::new(StatusCode::Ok);
+            response.insert_header(OBJECT_VERSION_HEADER, object.object_version.to_string());
+            response.set_body(object.value.as_bytes());
+            response
+        }
+        StoreReply::Absent => Response::new(StatusCode::NotFound),
+        StoreReply::Conflict => Response::new(StatusCode::Conflict),
+        StoreReply::Written { object_version } => {
+            json_response(200, &WriteAnswer { object_version })
+        }
+        StoreReply::Listed { objects, revision } | StoreReply::Changed { objects, revision } => {
+            json_response(200, &ObjectList { objects, revision })
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/target.rs
@@ -0,0 +1,250 @@
+//! The stand-in of a target: slots, a cold start, a drain, cancellation, deadlines, and faults.
+
+use crate::serving::{json_body, serve};
+use async_executor::Executor;
+use async_lock::Semaphore;
+use async_net::TcpStream;
+use futures_lite::AsyncWriteExt;
+use http_types::{Method, Request, Response, StatusCode};
+use pomeloreach_core::api::{Announcement, AnnouncementAnswer};
+use pomeloreach_core::endpoint::TargetState;
+use pomeloreach_wire::clock::{Clock, sleep_ms, within_ms};
+use pomeloreach_wire::http::{self, HttpError, error_response, json_response};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// How long an announcement holds, in milliseconds.
+const LEASE_MS: u64 = 2_000;
+/// How often a target announces itself, in milliseconds.
+const ANNOUNCE_MS: u64 = 500;
+/// How often a draining target asks whether it may stop, in milliseconds.
+const DRAIN_LOOK_MS: u64 = 50;
+/// How often a target looks whether its caller hung up, in milliseconds.
+const HANG_UP_LOOK_MS: u64 = 20;
+/// The largest body, in bytes.
+const BODY_BYTES_MAX: usize = 4 * 1024 * 1024;
+
+/// How the target behaves; it can be changed while it runs.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Behaviour {
+    /// How long a request runs, in milliseconds.
+    pub service_ms: u64,
+    /// Requests run and are then never answered.
+    pub stall: bool,
+    /// Answers end before their declared length.
+    pub cut_answers: bool,
+    /// Connections close without an answer, after the request ran.
+    pub drop_answers: bool,
+    /// Every request fails with status 500, while the announcement says ready.
+    pub lie_ready: bool,
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Self {
+            service_ms: 1,
+            stall: false,
+            cut_answers: false,
+            drop_answers: false,
+            lie_ready: false,
+        }
+    }
+}
+
+/// What the target is.
+#[derive(Clone, Debug)]
+pub struct TargetSettings {
+    pub service: Arc<str>,
+    pub port: u16,
+    pub slots: u16,
+    pub cold_start_ms: u64,
+    /// The operator port of the daemon beside the target.
+    pub daemon_addr: SocketAddr,
+}
+
+/// What was counted.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Runs {
+    /// Times that each request id ran.
+    pub by_id: BTreeMap<String, u32>,
+    pub cancelled: u32,
+    pub running_max: u32,
+    pub running: u32,
+}
+
+/// A running target.
+pub struct Target {
+    settings: TargetSettings,
+    behaviour: Mutex<Behaviour>,
+    runs: Mutex<Runs>,
+    slots: Semaphore,
+    draining: AtomicBool,
+    clock: Clock,
+}
+
+impl Target {
+    pub fn new(settings: TargetSettings, behaviour: Behaviour) -> Arc<Self> {
+        let slots = Semaphore::new(settings.slots.into());
+        Arc::new(Self {
+            settings,
+            behaviour: Mutex::new(behaviour),
+            runs: Mutex::new(Runs::default()),
+            slots,
+            draining: AtomicBool::new(false),
+            clock: Clock::default(),
+        })
+    }
+
+    /// Serves until `stop` ends, then drains.
+    pub async fn run(
+        self: Arc<Self>,
+        executor: Arc<Executor<'static>>,
+        stop: impl Future<Output = ()>,
+    ) -> std::io::Result<()> {
+        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, self.settings.port));
+        let target = self.clone();
+        let serving = serve(executor.clone(), addr, move |request, connection| {
+            let target = target.clone();
+            async move { target.handle(request, connection).await }
+        });
+        executor.spawn(self.clone().keep_announcing()).detach();
+        let draining = async {
+            stop.await;
+            self.drain().await;
+            Ok(())
+        };
+        futures_lite::future::or(serving, draining).await
+    }
+
+    async fn keep_announcing(self: Arc<Self>) {
+        loop {
+            self.announce().await.ok();
+            sleep_ms(ANNOUNCE_MS).await;
+        }
+    }
+
+    fn state(&self) -> TargetState {
+        if self.draining.load(Ordering::Relaxed) {
+            return TargetState::Draining;
+        }
+        if self.clock.now_ms() < self.settings.cold_start_ms {
+            return TargetState::Starting;
+        }
+        TargetState::Ready
+    }
+
+    async fn announce(&self) -> Result<AnnouncementAnswer, HttpError> {
+        let announcement = Announcement {
+            service: self.settings.service.clone(),
+            port: self.settings.port,
+            slots: self.settings.slots,
+            state: self.state(),
+            lease_ms: LEASE_MS,
+        };
+        let body = serde_json::to_vec(&announcement).expect("an announcement is encodable");
+        let addr = self.settings.daemon_addr;
+        let request = http::request(Method::Post, addr, "/announce")?;
+        let answer = http::call(addr, request, body, BODY_BYTES_MAX, LEASE_MS).await?;
+        answer.json().map_err(|error| HttpError::Lost(error.to_string()))
+    }
+
+    /// Leaves when the daemon says that no request would be cut off.
+    async fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+        while !self.announce().await.is_ok_and(|answer| answer.may_stop) {
+            sleep_ms(DRAIN_LOOK_MS).await;
+        }
+    }
+
+    async fn handle(&self, mut request: Request, connection: TcpStream) -> Response {
+        let path = request.url().path().to_string();
+        match (request.method(), path.as_str()) {
+            (Method::Post, "/behaviour") => match json_body::<Behaviour>(&mut request).await {
+                Ok(behaviour) => {
+                    *self.behaviour.lock().unwrap() = behaviour;
+                    Response::new(StatusCode::Ok)
+                }
+                Err(response) => response,
+            },
+            (Method::Get, "/runs") => json_response(200, &*self.runs.lock().unwrap()),
+            _ => self.work(request, connection).await,
+        }
+    }
+
+    async fn work(&self, mut request: Request, mut connection: TcpStream) -> Response {
+        let id = request.header("x-request-id").map_or("-", |v| v.last().as_str()).to_string();
+        let deadline_ms = request
+            .header("x-pomeloreach-deadline-ms")
+            .and_then(|value| value.last().as_str().parse().ok())
+            .unwrap_or(60_000);
+        let body = match http::read_request_body(&mut request, BODY_BYTES_MAX).await {
+            Ok(body) => body,
+            Err(error) => return http::body_error_response(error),
+        };
+        let watched = connection.clone();
+        let running = within_ms(deadline_ms, self.run_request(&id));
+        let cancelled = async {
+            hung_up(&watched).await;
+            None
+        };
+        let Some(behaviour) = futures_lite::future::or(running, cancelled).await else {
+            self.runs.lock().unwrap().cancelled += 1;
+            return error_response(pomeloreach_core::code::ResultCode::TimedOut, "given up");
+        };
+        if behaviour.drop_answers {
+            connection.close().await.ok();
+        }
+        if behaviour.cut_answers {
+            connection.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf").await.ok();
+            connection.close().await.ok();
+        }
+        if behaviour.lie_ready {
+            return Response::new(StatusCode::InternalServerError);
+        }
+        let mut response = Response::new(StatusCode::Ok);
+        response.insert_header("x-ran-at", format!("{}", self.settings.port));
+        response.set_body(format!("{id} {} {}", self.settings.service, body.len()));
+        response
+    }
+
+    async fn run_request(&self, id: &str) -> Behaviour {
+        let _slot = self.slots.acquire().await;
+        let behaviour = self.behaviour.lock().unwrap().clone();
+        let _running = Running::new(self, id);
+        sleep_ms(behaviour.service_ms).await;
+        if behaviour.stall {
+            futures_lite::future::pending::<()>().await;
+        }
+        behaviour
+    }
+}
+
+/// Counts a run for as long as it lasts.
+struct Running<'a>(&'a Target);
+
+impl<'a> Running<'a> {
+    fn new(target: &'a Target, id: &str) -> Self {
+        let mut runs = target.runs.lock().unwrap();
+        *runs.by_id.entry(id.to_string()).or_default() += 1;
+        runs.running += 1;
+        runs.running_max = runs.running_max.max(runs.running);
+        Self(target)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.runs.lock().unwrap().running -= 1;
+    }
+}
+
+async fn hung_up(connection: &TcpStream) {
+    let mut byte = [0];
+    while !matches!(connection.peek(&mut byte).await, Ok(0) | Err(_)) {
+        sleep_ms(HANG_UP_LOOK_MS).await;
+    }
+}
--- /dev/null
+++ b/crates/wire/src/clock.rs
@@ -0,0 +1,35 @@
+//! The one place where a process reads the time.
+
+use std::future::Future;
+use std::time::{Duration, Instant};
+
+/// Milliseconds since the process started, from the runtime's monotonic clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    started: Instant,
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self { started: Instant::now() }
+    }
+}
+
+impl Clock {
+    pub fn now_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+pub async fn sleep_ms(ms: u64) {
+    async_io::Timer::after(Duration::from_millis(ms)).await;
+}
+
+/// Runs a future for at most `ms` milliseconds.
+pub async fn within_ms<F: Future>(ms: u64, future: F) -> Option<F::Output> {
+    let timeout = async {
+        sleep_ms(ms).await;
+        None
+    };
+    futures_lite::future::or(async { Some(future.await) }, timeout).await
+}
--- /dev/null
+++ b/crates/wire/src/http.rs
@@ -0,0 +1,221 @@
+//! HTTP through `async-h1`, with what the library leaves open closed here.
+//!
+//! The library hands over a body that was cut short as if it were whole. Every body is therefore
+//! read to its end here and counted against the length that was declared. It also takes an answer
+//! without any length for an empty one; such an answer counts as cut.
+
+use crate::clock::within_ms;
+use async_net::TcpStream;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use http_types::headers::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http_types::{Body, Method, Request, Response, StatusCode, Url};
+use pomeloreach_core::api::ErrorAnswer;
+use pomeloreach_core::code::ResultCode;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::future::Future;
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// How long opening a connection on the local network may take, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+
+/// What is wrong with a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum BodyError {
+    #[error("the body ends before its declared length")]
+    Cut,
+    #[error("the body is larger than allowed")]
+    TooLarge,
+}
+
+/// Why a call got no whole answer.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum HttpError {
+    /// Nothing of the request was sent.
+    #[error("cannot connect: {0}")]
+    Connect(String),
+    /// The request may have arrived.
+    #[error("no answer: {0}")]
+    Lost(String),
+    #[error("bad answer: {0}")]
+    Body(#[from] BodyError),
+    #[error("no answer within {0} ms")]
+    TimedOut(u64),
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct WholeResponse {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl WholeResponse {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, serde_json::Error> {
+        serde_json::from_slice(&self.body)
+    }
+}
+
+/// Reads a request's body whole, or says what is wrong with it.
+pub async fn read_request_body(
+    request: &mut Request,
+    max_bytes: usize,
+) -> Result<Vec<u8>, BodyError> {
+    let declared = declared_length(request.header(CONTENT_LENGTH).map(|v| v.last().as_str()));
+    read_body(request.take_body(), declared, max_bytes).await
+}
+
+fn declared_length(header: Option<&str>) -> Option<usize> {
+    header.and_then(|value| value.trim().parse().ok())
+}
+
+async fn read_body(
+    body: Body,
+    declared: Option<usize>,
+    max_bytes: usize,
+) -> Result<Vec<u8>, BodyError> {
+    if declared.is_some_and(|bytes| bytes > max_bytes) {
+        return Err(BodyError::TooLarge);
+    }
+    let mut bytes = Vec::with_capacity(declared.unwrap_or(0));
+    let limit = max_bytes as u64 + 1;
+    body.take(limit).read_to_end(&mut bytes).await.map_err(|_| BodyError::Cut)?;
+    if bytes.len() > max_bytes {
+        return Err(BodyError::TooLarge);
+    }
+    if declared.is_some_and(|declared| declared != bytes.len()) {
+        return Err(BodyError::Cut);
+    }
+    Ok(bytes)
+}
+
+/// Opens a connection within the time for it.
+pub async fn connect(addr: SocketAddr) -> Result<TcpStream, HttpError> {
+    let connecting = within_ms(CONNECT_TIMEOUT_MS, TcpStream::connect(addr)).await;
+    let stream = match connecting {
+        None => return Err(HttpError::Connect(format!("{addr} does not answer"))),
+        Some(connected) => connected.map_err(|e| HttpError::Connect(format!("{addr}: {e}")))?,
+    };
+    stream.set_nodelay(true).ok();
+    Ok(stream)
+}
+
+/// Sends a request on a connection of its own and reads the whole answer.
+pub async fn exchange(
+    stream: TcpStream,
+    request: Request,
+    max_bytes: usize,
+) -> Result<WholeResponse, HttpError> {
+    let has_body = request.method() != Method::Head;
+    let sent = async_h1::connect(stream, request).await;
+    let mut response = sent.map_err(|error| HttpError::Lost(error.to_string()))?;
+    let status = u16::from(response.status());
+    let declared = response.header(CONTENT_LENGTH).map(|value| value.last().as_str().to_string());
+    let is_chunked = response.header(TRANSFER_ENCODING).is_some();
+    let has_body = has_body && status >= 200 && status != 204 && status != 304;
+    if has_body && declared.is_none() && !is_chunked {
+        return Err(BodyError::Cut.into());
+    }
+    let body = if has_body {
+        read_body(response.take_body(), declared_length(declared.as_deref()), max_bytes).await?
+    } else {
+        Vec::new()
+    };
+    let headers = response
+        .iter()
+        .flat_map(|(name, values)| {
+            values.iter().map(|value| (name.as_str().to_string(), value.as_str().to_string()))
+        })
+        .collect();
+    Ok(WholeResponse { status, headers, body })
+}
+
+/// A request to a path of an address.
+pub fn request(method: Method, addr: SocketAddr, path: &str) -> Result<Request, HttpError> {
+    let url = Url::parse(&format!("http://{addr}{path}"));
+    let url = url.map_err(|error| HttpError::Connect(format!("{path}: {error}")))?;
+    let mut request = Request::new(method, url);
+    request.insert_header("connection", "close");
+    Ok(request)
+}
+
+/// Connects, sends a request and reads the whole answer, within a time.
+pub async fn call(
+    addr: SocketAddr,
+    mut request: Request,
+    body: Vec<u8>,
+    max_bytes: usize,
+    timeout_ms: u64,
+) -> Result<WholeResponse, HttpError> {
+    if !body.is_empty() {
+        request.set_body(Body::from_bytes(body));
+    }
+    let calling = async {
+        let stream = connect(addr).await?;
+        exchange(stream, request, max_bytes).await
+    };
+    within_ms(timeout_ms, calling).await.unwrap_or(Err(HttpError::TimedOut(timeout_ms)))
+}
+
+/// An answer with a JSON body.
+pub fn json_response<T: Serialize>(status: u16, value: &T) -> Response {
+    let status = StatusCode::try_from(status).unwrap_or(StatusCode::InternalServerError);
+    let mut response = Response::new(status);
+    let body = serde_json::to_vec(value).expect("answers are always encodable");
+    response.set_body(Body::from_bytes(body));
+    response.insert_header("content-type", "application/json");
+    response
+}
+
+/// An error as operators and targets get it.
+pub fn error_response(code: ResultCode, reason: impl Into<String>) -> Response {
+    let answer = ErrorAnswer { code, number: code.number(), reason: reason.into() };
+    json_response(code.http_status(), &answer)
+}
+
+/// The answer to a body that cannot be taken.
+pub fn body_error_response(error: BodyError) -> Response {
+    let code = match error {
+        BodyError::Cut => ResultCode::Malformed,
+        BodyError::TooLarge => ResultCode::BodyTooLarge,
+    };
+    error_response(code, error.to_string())
+}
+
+/// Serves one connection until it ends. A request that cannot be parsed gets a numbered error.
+pub async fn serve<F, Fut>(mut stream: TcpStream, handler: F)
+where
+    F: Fn(Request) -> Fut,
+    Fut: Future<Output = Response>,
+{
+    stream.set_nodelay(true).ok();
+    let endpoint = |request| {
+        let handled = handler(request);
+        async move { Ok(handled.await) }
+    };
+    if let Err(error) = async_h1::accept(stream.clone(), endpoint).await {
+        refuse_malformed(&mut stream, &error.to_string()).await;
+    }
+}
+
+async fn refuse_malformed(stream: &mut TcpStream, reason: &str) {
+    let code = ResultCode::Malformed;
+    let answer = ErrorAnswer { code, number: code.number(), reason: reason.to_string() };
+    let body = serde_json::to_string(&answer).unwrap_or_default();
+    let head = format!(
+        "HTTP/1.1 400 Bad Request\r\ncontent-type: application/json\r\nx-pomeloreach-code: {}\r\n\
+         x-pomeloreach-outcome: not-run\r\ncontent-length: {}\r\nconnection: close\r\n\r\n",
+        code.number(),
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await.ok();
+    stream.write_all(body.as_bytes()).await.ok();
+    stream.close().await.ok();
+}
