--- a/crates/core/src/joining.rs
+++ b/crates/core/src/joining.rs
@@ -12,6 +12,7 @@
 use rand_core::RngCore;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// The first pause after a failed join is at most this long, in milliseconds.
 const RETRY_FIRST_MS: u64 = 100;
@@ -107,7 +108,7 @@
         if self.is_lead() {
             self.seek_peers();
         }
-        self.nominate_leaf();
+        self.nominate_leaves();
         self.share_relays();
     }
 
@@ -143,11 +144,12 @@
         if self.joining.parent.is_some() || self.now_ms < self.joining.retry_due_ms {
             return;
         }
+        // Only attempts make the pauses grow, since looking for an address costs others nothing.
+        let Some(addr) = self.choose_parent() else { return };
         let ceiling_ms = (RETRY_FIRST_MS << self.joining.attempts.min(7)).min(RETRY_MAX_MS);
         self.joining.attempts += 1;
         let pause_ms = RETRY_FIRST_MS / 2 + self.rng.next_u64() % ceiling_ms;
         self.joining.retry_due_ms = self.now_ms + pause_ms;
-        let Some(addr) = self.choose_parent() else { return };
         self.joining.parent = Some(self.open_link(LinkKind::Parent, addr));
         self.joining.joined = false;
     }
@@ -207,25 +209,28 @@
         }
     }
 
-    fn nominate_leaf(&mut self) {
+    /// Asks one leaf of each zone that lacks a relay to become one.
+    fn nominate_leaves(&mut self) {
         if !self.is_relay() || self.now_ms < self.joining.nominate_due_ms {
             return;
         }
         self.joining.nominate_due_ms = self.now_ms + NOMINATE_MS;
-        if !self.roles.has_vacancy() {
-            return;
+        let mut leaves: BTreeMap<Arc<str>, Vec<LinkId>> = BTreeMap::new();
+        for (id, link) in &self.links {
+            let Some(remote) = link.remote.as_ref().filter(|_| link.is_joined(LinkKind::LeafChild))
+            else {
+                continue;
+            };
+            if remote.region == self.own().region {
+                leaves.entry(remote.zone.clone()).or_default().push(*id);
+            }
         }
-        let zone = self.own().zone.clone();
-        let leaves: Vec<LinkId> = self
-            .joined_links(|kind| kind == LinkKind::LeafChild)
-            .into_iter()
-            .filter(|id| self.links[id].remote.as_ref().is_some_and(|r| r.zone == zone))
-            .collect();
-        if leaves.is_empty() {
-            return;
+        for (zone, leaves) in leaves {
+            if self.roles.has_vacancy(&zone) {
+                let pick = self.rng.next_u64() as usize % leaves.len();
+                self.send(leaves[pick], Message::Nominate);
+            }
         }
-        let pick = self.rng.next_u64() as usize % leaves.len();
-        self.send(leaves[pick], Message::Nominate);
     }
 
     /// Tells leaves of the region's relays when these change.
@@ -470,6 +475,7 @@
     }
 
     pub(crate) fn become_relay(&mut self) {
+        self.joining.attempts = 0;
         if let Some(parent) = self.joining.parent {
             self.close_link(parent);
         }
--- a/crates/core/src/roles.rs
+++ b/crates/core/src/roles.rs
@@ -158,9 +158,9 @@
             .collect()
     }
 
-    /// Whether a lease of a relay in this daemon's zone is free to claim.
-    pub fn has_vacancy(&self) -> bool {
-        self.listed_once && self.vacant_slot().is_some()
+    /// Whether a lease of a relay in a zone of this region is free to claim.
+    pub fn has_vacancy(&self, zone: &str) -> bool {
+        self.listed_once && self.vacant_slot(zone).is_some()
     }
 
     pub fn nominate(&mut self, now_ms: u64) {
@@ -247,7 +247,7 @@
         rng: &mut ChaCha8Rng,
     ) {
         let vacant = match role {
-            Role::Relay => self.vacant_slot(),
+            Role::Relay => self.vacant_slot(&self.own.zone),
             Role::Lead => self.vacant_lead(),
         };
         let Some((key, expected_version)) = vacant.filter(|_| self.listed_once) else {
@@ -288,9 +288,9 @@
         self.push_write(calls, role, key, renewal, version);
     }
 
-    fn vacant_slot(&self) -> Option<(Arc<str>, u64)> {
+    fn vacant_slot(&self, zone: &str) -> Option<(Arc<str>, u64)> {
         (0..self.relays_per_zone).find_map(|slot| {
-            let key = format!("{RELAYS_PREFIX}{}/{}/{slot}", self.own.region, self.own.zone);
+            let key = format!("{RELAYS_PREFIX}{}/{zone}/{slot}", self.own.region);
             self.vacancy(key.into())
         })
     }
