--- a/crates/standins/tests/config_runs.rs
+++ b/crates/standins/tests/config_runs.rs
@@ -111,7 +111,7 @@
                 ];
                 exchange.write_raw(&bad[usize::from(kind)]);
             }
-            Step::Trouble(trouble) => exchange.make_trouble(trouble),
+            Step::Trouble(ref trouble) => exchange.make_trouble(trouble),
         }
     }
 }
--- a/crates/standins/tests/support/mod.rs
+++ b/crates/standins/tests/support/mod.rs
@@ -54,6 +54,13 @@
     pub lose_answers: u32,
 }
 
+/// What a data plane was told of one daemon.
+pub struct SeenRecord {
+    instance: Arc<str>,
+    state: TargetState,
+    gone: bool,
+}
+
 /// One place for a daemon, which outlives the daemons that stand in it.
 pub struct Seat {
     pub node: Option<Node>,
@@ -64,7 +71,7 @@
     /// The highest version that was ever in force here.
     pub highest_in_force: u64,
     pub in_force_ms: BTreeMap<u64, u64>,
-    pub services: BTreeMap<Arc<str>, Vec<(Arc<str>, TargetState, bool)>>,
+    pub services: BTreeMap<Arc<str>, Vec<SeenRecord>>,
     pub events: Vec<(u64, String)>,
     /// What the target here says of itself, if there is one.
     pub announced: Option<TargetState>,
@@ -294,9 +301,10 @@
             Output::CallStore { call, op } => self.call_store(index, start, call, op),
             Output::ConfigInForce(config) => self.note_in_force(index, &config),
             Output::Endpoints { service, entries } => {
-                let seen = entries.iter().map(|entry| {
-                    let record = &entry.record;
-                    (record.instance.clone(), record.state, record.gone)
+                let seen = entries.iter().map(|entry| SeenRecord {
+                    instance: entry.record.instance.clone(),
+                    state: entry.record.state,
+                    gone: entry.record.gone,
                 });
                 let seen = seen.collect();
                 self.seats[index].services.insert(service, seen);
@@ -492,7 +500,7 @@
     /// The live records that a daemon routes by.
     pub fn seen_by(&self, index: usize) -> BTreeMap<Arc<str>, TargetState> {
         let seen = self.seats[index].services.get(SERVICE).into_iter().flatten();
-        seen.filter(|(_, _, gone)| !gone).map(|(i, state, _)| (i.clone(), *state)).collect()
+        seen.filter(|seen| !seen.gone).map(|seen| (seen.instance.clone(), seen.state)).collect()
     }
 
     /// The records that every daemon should route by.
