--- a/crates/core/src/joining.rs
+++ b/crates/core/src/joining.rs
@@ -482,6 +482,7 @@
             }
             LinkKind::Peer if link.state == LinkState::Joined => {
                 self.event(Event::PeerLost, detail);
+                self.expire_guest_records(id);
             }
             _ => {}
         }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -314,6 +314,15 @@
         self.membership.expire_where(expires_ms, |entry| entry.via == Via::Link(id));
     }
 
+    /// Daemons of this region that had found refuge behind a lost peer may come home.
+    pub(crate) fn expire_guest_records(&mut self, id: LinkId) {
+        let expires_ms = self.now_ms + RELAY_GRACE_MS;
+        let region = self.own().region.clone();
+        self.membership.expire_where(expires_ms, |entry| {
+            entry.via == Via::Link(id) && entry.record.region == region
+        });
+    }
+
     /// A new lead keeps the region's records for as long as relays need to report them.
     pub(crate) fn expire_unreported_records(&mut self) {
         let below: BTreeSet<Via> = self.vias_below().collect();
@@ -382,8 +391,7 @@
         }
         match kind {
             LinkKind::Parent | LinkKind::Peer => {
-                let is_ours = entry.record.region == self.own().region;
-                below.contains(&entry.via) || (entry.record.gone && is_ours)
+                entry.record.gone || below.contains(&entry.via)
             }
             LinkKind::LeafChild => link.services.contains(&entry.record.service),
             LinkKind::RelayChild => true,
