--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -390,9 +390,7 @@
             return false;
         }
         match kind {
-            LinkKind::Parent | LinkKind::Peer => {
-                entry.record.gone || below.contains(&entry.via)
-            }
+            LinkKind::Parent | LinkKind::Peer => entry.record.gone || below.contains(&entry.via),
             LinkKind::LeafChild => link.services.contains(&entry.record.service),
             LinkKind::RelayChild => true,
             _ => false,
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -25,6 +25,9 @@
 const ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
 /// The pause between looks, in milliseconds.
 const LOOK_MS: u64 = 20;
+/// The first port that is handed out, and how many there are.
+const PORTS_FROM: u16 = 10_000;
+const PORTS: u32 = 20_000;
 /// How long a process may take to stop, in milliseconds.
 const STOP_MS: u64 = 10_000;
 
@@ -120,6 +123,7 @@
 }
 
 static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
 
 impl Fleet {
     /// Makes a folder with keys, and starts the store.
@@ -129,7 +133,7 @@
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("the temporary folder can be made");
         keys::write(&folder).expect("keys can be made");
-        let store_addr = free_tcp_addr();
+        let store_addr = free_addr();
         let mut fleet = Self {
             folder,
             store_addr,
@@ -166,9 +170,9 @@
     }
 
     pub fn add_daemon(&mut self, place: Place) -> usize {
-        let control_addr = free_udp_addr();
-        let caller_addr = free_tcp_addr();
-        let operator_addr = free_tcp_addr();
+        let control_addr = free_addr();
+        let caller_addr = free_addr();
+        let operator_addr = free_addr();
         if self.seeds.len() < 3 {
             self.seeds.push(control_addr);
         }
@@ -203,7 +207,7 @@
 
     /// Starts a target beside a daemon.
     pub fn add_target(&mut self, daemon: usize, service: &str, slots: u16) -> usize {
-        let addr = free_tcp_addr();
+        let addr = free_addr();
         let daemon = &self.daemons[daemon];
         let name = format!("target-{}", daemon.place.name);
         let command = vec![
@@ -348,14 +352,18 @@
     block_on(http::call(addr, request, body, ANSWER_BYTES_MAX, CALL_TIMEOUT_MS))
 }
 
-fn free_tcp_addr() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
-    listener.local_addr().expect("it has an address")
-}
-
-fn free_udp_addr() -> SocketAddr {
-    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
-    socket.local_addr().expect("it has an address")
+/// An address that nobody listens on. Ports are handed out below the range that the system takes
+/// for outgoing connections, which might otherwise take one before its process has started.
+fn free_addr() -> SocketAddr {
+    let first = std::process::id().wrapping_mul(97);
+    loop {
+        let next = first.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS_FROM + (next % PORTS) as u16;
+        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 /// The folder that cargo builds into, found from this process's own program.
