--- a/crates/core/src/dump.rs
+++ b/crates/core/src/dump.rs
@@ -12,6 +12,8 @@
 /// One link of a daemon.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct LinkDump {
+    /// Names the link within the daemon, as in the bytes of control traffic.
+    pub link: u64,
     pub kind: String,
     pub state: String,
     pub addr: SocketAddr,
@@ -46,7 +48,8 @@
 impl Node {
     pub fn dump(&self) -> NodeDump {
         let config = self.config();
-        let links = self.links().map(|(_, link)| LinkDump {
+        let links = self.links().map(|(id, link)| LinkDump {
+            link: id.0,
             kind: format!("{:?}", link.kind),
             state: format!("{:?}", link.state),
             addr: link.addr,
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -35,10 +35,12 @@
 }
 
 /// Bytes of control traffic since the daemon started, as UDP carries them.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Serialize)]
 pub struct ControlBytes {
     pub sent_bytes: u64,
     pub received_bytes: u64,
+    /// Both directions of each open link.
+    pub by_link: BTreeMap<u64, u64>,
 }
 
 /// All links of a daemon.
@@ -76,10 +78,11 @@
     }
 
     pub fn control_bytes(&self) -> ControlBytes {
-        let mut sum = *lock(&self.closed_bytes);
-        for entry in lock(&self.open).values() {
+        let mut sum = lock(&self.closed_bytes).clone();
+        for (link, entry) in lock(&self.open).iter() {
             if let Some(connection) = &entry.connection {
-                add_bytes(&mut sum, connection);
+                let bytes = add_bytes(&mut sum, connection);
+                sum.by_link.insert(link.0, bytes);
             }
         }
         sum
@@ -106,10 +109,12 @@
     }
 }
 
-fn add_bytes(sum: &mut ControlBytes, connection: &Connection) {
+/// Adds the bytes of a connection and returns how many it has carried.
+fn add_bytes(sum: &mut ControlBytes, connection: &Connection) -> u64 {
     let stats = connection.stats();
     sum.sent_bytes += stats.udp_tx.bytes;
     sum.received_bytes += stats.udp_rx.bytes;
+    stats.udp_tx.bytes + stats.udp_rx.bytes
 }
 
 /// Opens a link on a connection of its own.
--- /dev/null
+++ b/crates/standins/src/baseline.rs
@@ -0,0 +1,48 @@
+//! What the design is compared with: every daemon watches the store by itself.
+
+use async_executor::Executor;
+use pomeloreach_core::store::{StoreOp, StoreReply};
+use pomeloreach_wire::platform::call_store;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// How long one watch waits, in milliseconds.
+const WATCH_MS: u32 = 10_000;
+
+/// When watchers saw objects, by key, in milliseconds of the wall clock.
+pub type Seen = Arc<Mutex<Vec<(Arc<str>, u64)>>>;
+
+/// Starts watchers of a prefix; dropping the tasks ends them.
+pub fn start_watchers(
+    executor: &Arc<Executor<'static>>,
+    store: SocketAddr,
+    prefix: &str,
+    count: usize,
+    seen: &Seen,
+) -> Vec<async_executor::Task<()>> {
+    let prefix: Arc<str> = prefix.into();
+    (0..count).map(|_| executor.spawn(watch(store, prefix.clone(), seen.clone()))).collect()
+}
+
+async fn watch(store: SocketAddr, prefix: Arc<str>, seen: Seen) {
+    let list = StoreOp::List { prefix: prefix.clone(), start_after: None, limit: 1 };
+    let mut after_revision = match call_store(store, &list).await {
+        Ok(StoreReply::Listed { revision, .. }) => revision,
+        _ => 0,
+    };
+    loop {
+        let op = StoreOp::Watch { prefix: prefix.clone(), after_revision, wait_ms: WATCH_MS };
+        if let Ok(StoreReply::Changed { objects, revision }) = call_store(store, &op).await {
+            after_revision = revision;
+            let now_ms = unix_ms();
+            let mut seen = seen.lock().unwrap();
+            seen.extend(objects.into_iter().map(|object| (object.key, now_ms)));
+        }
+    }
+}
+
+pub fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/standins/src/figures.rs
@@ -0,0 +1,96 @@
+//! Figures of real processes: processor time, memory, and what their dumps say.
+
+use crate::fleet::Fleet;
+use serde_json::Value;
+use std::time::Instant;
+
+/// Clock ticks a second in `/proc`, as the system's interface fixes them.
+const TICKS_PER_S: f64 = 100.0;
+
+/// What a daemon has used since it started.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Used {
+    pub cpu_s: f64,
+    pub memory_mb: f64,
+    pub control_bytes: u64,
+    pub peer_bytes: u64,
+}
+
+/// The role of a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Place {
+    Leaf,
+    Relay,
+    Lead,
+}
+
+/// Figures of every daemon at one moment.
+pub struct Snapshot {
+    pub at: Instant,
+    pub used: Vec<(Place, Used)>,
+    pub store_calls: u64,
+    pub store_bytes: u64,
+}
+
+impl Snapshot {
+    /// Takes the figures of all daemons, or of all but one that cannot answer.
+    pub fn take_but(fleet: &Fleet, out: Option<usize>) -> Self {
+        let counters = fleet.counters().unwrap_or_default();
+        let asked = (0..fleet.daemons.len()).filter(|daemon| Some(*daemon) != out);
+        let used = asked.map(|daemon| used_by(fleet, daemon)).collect();
+        Self {
+            at: Instant::now(),
+            used,
+            store_calls: counters.calls,
+            store_bytes: counters.answer_bytes,
+        }
+    }
+}
+
+fn used_by(fleet: &Fleet, daemon: usize) -> (Place, Used) {
+    let dump = fleet.dump(daemon).unwrap_or(Value::Null);
+    let node = &dump["node"];
+    let place = match (node["lead"] == true, node["relay"] == true) {
+        (true, _) => Place::Lead,
+        (false, true) => Place::Relay,
+        _ => Place::Leaf,
+    };
+    let control = &dump["control"];
+    let bytes = |name: &str| control[name].as_u64().unwrap_or(0);
+    let peer_links = node["links"].as_array().into_iter().flatten();
+    let peer_bytes = peer_links
+        .filter(|link| link["kind"] == "Peer")
+        .filter_map(|link| control["by_link"][link["link"].as_u64()?.to_string()].as_u64())
+        .sum();
+    let (cpu_s, memory_mb) = process_figures(fleet.daemons[daemon].process.id());
+    let control_bytes = bytes("sent_bytes") + bytes("received_bytes");
+    (place, Used { cpu_s, memory_mb, control_bytes, peer_bytes })
+}
+
+/// Processor time in seconds and resident memory in megabytes.
+pub fn process_figures(pid: u32) -> (f64, f64) {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let after_name = stat.rsplit(')').next().unwrap_or("");
+    let fields: Vec<f64> =
+        after_name.split_whitespace().map(|field| field.parse().unwrap_or(0.0)).collect();
+    let cpu_s = (fields.get(11).unwrap_or(&0.0) + fields.get(12).unwrap_or(&0.0)) / TICKS_PER_S;
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let memory_kb = resident.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok());
+    (cpu_s, memory_kb.unwrap_or(0.0) / 1024.0)
+}
+
+/// The mean and the maximum of the daemons of one role.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Spread {
+    pub count: usize,
+    pub mean: f64,
+    pub max: f64,
+}
+
+pub fn spread(values: impl Iterator<Item = f64>) -> Spread {
+    let values: Vec<f64> = values.collect();
+    let count = values.len();
+    let mean = values.iter().sum::<f64>() / count.max(1) as f64;
+    Spread { count, mean, max: values.into_iter().fold(0.0, f64::max) }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,5 +1,7 @@
 //! Small stand-ins for what lies outside pomeloreach, and tools to try it with. Not shipped.
 
+pub mod baseline;
+pub mod figures;
 pub mod fleet;
 pub mod keys;
 pub mod load;
