--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 mod history;
 mod pools;
 mod routes;
+mod row;
 mod status;
 
 use crate::client::Client;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,7 +6,9 @@
 //! outputs. Randomised runs drive the same code, see `docs/PROOFS.md`.
 
 pub mod admission;
+mod admitting;
 pub mod api;
+mod asking;
 pub mod attempt;
 pub mod balancer;
 pub mod budget;
@@ -20,6 +22,7 @@
 pub mod endpoint;
 pub mod event;
 pub mod floor;
+mod intake;
 mod joining;
 mod keeper;
 pub mod link;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1,8 +1,9 @@
 //! The control plane of one daemon: its tables, and the order in which systems run over them.
 //!
 //! [`Node::handle`] takes one input and the time, and returns what the process is to do. The
-//! systems stand in modules of their own: joining the tree, handing out versions, records,
-//! reading the log, publishing, roles, the version to start from, and keeping the log short.
+//! systems stand in modules of their own: joining the tree and letting others in, handing out and
+//! taking in versions, records, reading the log, publishing, roles, the version to start from,
+//! status, and keeping the log short.
 
 use crate::api::{EditAnswer, StatusAnswer};
 use crate::config::Config;
@@ -13,16 +14,14 @@
 use crate::joining::Joining;
 use crate::keeper::{KeepCall, Keeper};
 use crate::link::{Link, LinkId, LinkKind, LinkState, OPENED_HERE};
-use crate::log::{ConfigLog, Offer};
+use crate::log::ConfigLog;
 use crate::membership::{Entry, Membership};
 use crate::message::{Message, RelayInfo};
 use crate::publisher::{PublishCall, Publisher};
-use crate::reader::{ReadCall, ReadMode, ReadResult, Reader};
+use crate::reader::{ReadCall, ReadMode, Reader};
 use crate::roles::{Role, RoleCall, RoleChange, RoleNeeds, Roles};
-use crate::status::{Asker, StatusAsk, StatusAsks, StatusRow};
-use crate::store::{
-    EDITS_PREFIX, SNAPSHOTS_PREFIX, StoreFailure, StoreOp, StoreReply, StoredObject, version_of_key,
-};
+use crate::status::{Asker, StatusAsks};
+use crate::store::{StoreFailure, StoreOp, StoreReply};
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -166,15 +165,15 @@
     pub(crate) newest_version: u64,
     pub(crate) known_relays: BTreeSet<RelayInfo>,
     pub(crate) leaving: bool,
-    reader: Reader,
-    publisher: Publisher,
-    keeper: Keeper,
-    asks: StatusAsks,
-    calls: BTreeMap<CallId, CallOwner>,
+    pub(crate) reader: Reader,
+    pub(crate) publisher: Publisher,
+    pub(crate) keeper: Keeper,
+    pub(crate) asks: StatusAsks,
+    pub(crate) calls: BTreeMap<CallId, CallOwner>,
     next_call: u64,
     next_link: u64,
-    store_failures: u32,
-    in_force_version: Option<u64>,
+    pub(crate) store_failures: u32,
+    pub(crate) in_force_version: Option<u64>,
     stopped: bool,
     outputs: Vec<Output>,
 }
@@ -395,142 +394,6 @@
         }
     }
 
-    fn store_answered(&mut self, call: CallId, result: Result<StoreReply, StoreFailure>) {
-        let Some(owner) = self.calls.remove(&call) else { return };
-        self.note_store_health(result.is_ok());
-        match owner {
-            CallOwner::Read(read) => self.log_read(read, result),
-            CallOwner::Role(role_call) => {
-                self.roles.answered(role_call, result, self.now_ms);
-                self.apply_role_changes();
-            }
-            CallOwner::Publish { ticket, call } => {
-                let held = self.log.config().clone();
-                let objects = self.publisher.answered(ticket, call, result, &held, self.now_ms);
-                self.take_objects(&objects);
-                self.run_publisher();
-            }
-            CallOwner::Floor => self.floor_answered(result),
-            CallOwner::Keep(keep) => {
-                let events = self.keeper.answered(keep, result);
-                for (event, detail) in events {
-                    self.event(event, detail);
-                }
-                self.run_keeper();
-            }
-        }
-    }
-
-    fn note_store_health(&mut self, is_ok: bool) {
-        let was_failing = self.is_store_failing();
-        self.store_failures = if is_ok { 0 } else { self.store_failures.saturating_add(1) };
-        match (was_failing, self.is_store_failing()) {
-            (false, true) => self.event(Event::StoreFailing, String::new()),
-            (true, false) => self.event(Event::StoreRecovered, String::new()),
-            _ => {}
-        }
-    }
-
-    fn log_read(&mut self, call: ReadCall, result: Result<StoreReply, StoreFailure>) {
-        let held_version = self.log.version();
-        match self.reader.answered(call, result, held_version, self.now_ms) {
-            ReadResult::Nothing => {}
-            ReadResult::Edits { objects, is_whole } => {
-                let before = self.log.version();
-                self.take_objects(&objects);
-                if is_whole && !self.floor.is_known() {
-                    let newest = self.newest_version.max(self.log.version());
-                    self.floor.learn(newest, FloorSource::Store);
-                }
-                if self.log.version() != before {
-                    self.reader.list_now(self.now_ms);
-                }
-            }
-            ReadResult::Snapshots(objects) => self.take_snapshots(&objects),
-        }
-        self.run_reader();
-    }
-
-    /// Takes in the newest snapshot that passes every check.
-    fn take_snapshots(&mut self, objects: &[StoredObject]) {
-        for object in objects.iter().rev() {
-            let is_ours = version_of_key(SNAPSHOTS_PREFIX, &object.key).is_some();
-            if is_ours && self.take_snapshot(object.value.as_bytes()) {
-                return;
-            }
-        }
-    }
-
-    /// Tells whether nothing newer than the snapshot remains to be tried.
-    pub(crate) fn take_snapshot(&mut self, raw: &[u8]) -> bool {
-        match self.log.offer_snapshot(raw) {
-            Ok(false) => true,
-            Ok(true) => {
-                let version = self.log.version();
-                self.event(Event::SnapshotApplied, format!("version={version}"));
-                self.version_changed();
-                true
-            }
-            Err(refusal) => {
-                self.event(Event::SnapshotRefused, format!("reason=\"{refusal}\""));
-                false
-            }
-        }
-    }
-
-    fn take_objects(&mut self, objects: &[StoredObject]) {
-        for object in objects {
-            let Some(version) = version_of_key(EDITS_PREFIX, &object.key) else { continue };
-            let raw: Arc<[u8]> = object.value.as_bytes().into();
-            if self.take_edit(version, &raw) == Offer::Gap {
-                self.reader.want_snapshots();
-                self.reader.list_now(self.now_ms);
-                return;
-            }
-        }
-    }
-
-    pub(crate) fn take_edit(&mut self, version: u64, raw: &Arc<[u8]>) -> Offer {
-        let offer = self.log.offer(version, raw);
-        match &offer {
-            Offer::Stale | Offer::Gap => {}
-            Offer::Applied => {
-                self.event(Event::VersionApplied, format!("version={version}"));
-                self.version_changed();
-            }
-            Offer::Refused(refusal) => {
-                let detail = format!("version={version} reason=\"{refusal}\"");
-                self.event(Event::VersionRefused, detail);
-                self.version_changed();
-            }
-        }
-        offer
-    }
-
-    fn version_changed(&mut self) {
-        self.newest_version = self.newest_version.max(self.log.version());
-        self.put_in_force();
-    }
-
-    /// Hands the configuration to the data plane, once the version to start from is reached.
-    fn put_in_force(&mut self) {
-        self.floor.reach(self.log.version());
-        if !self.floor.is_reached() {
-            return;
-        }
-        let version = self.log.version();
-        if self.in_force_version == Some(version) {
-            return;
-        }
-        if self.in_force_version.is_none() {
-            self.event(Event::DaemonReady, format!("version={version}"));
-        }
-        assert!(Some(version) > self.in_force_version, "what is in force never moves back");
-        self.in_force_version = Some(version);
-        let config = self.log.config().clone();
-        self.output(Output::ConfigInForce(config));
-    }
-
     fn run_roles(&mut self) {
         let orphaned = self.joining.looks_for_relays() || self.is_abroad();
         let needs = RoleNeeds { orphaned, leaving: self.leaving };
@@ -540,7 +403,7 @@
         self.apply_role_changes();
     }
 
-    fn apply_role_changes(&mut self) {
+    pub(crate) fn apply_role_changes(&mut self) {
         for change in self.roles.take_changes() {
             match change {
                 RoleChange::Claimed { role: Role::Relay, key } => {
@@ -563,7 +426,7 @@
         }
     }
 
-    fn run_reader(&mut self) {
+    pub(crate) fn run_reader(&mut self) {
         let mode = self.read_mode();
         let held_version = self.log.version();
         for (call, op) in self.reader.tick(self.now_ms, held_version, mode, &mut self.rng) {
@@ -592,7 +455,7 @@
         self.run_publisher();
     }
 
-    fn run_publisher(&mut self) {
+    pub(crate) fn run_publisher(&mut self) {
         let held = self.log.config().clone();
         let (calls, finished) = self.publisher.tick(self.now_ms, &held);
         for finished in finished {
@@ -609,7 +472,7 @@
         }
     }
 
-    fn run_keeper(&mut self) {
+    pub(crate) fn run_keeper(&mut self) {
         if !self.roles.holds(Role::Lead) || self.leaving || !self.is_ready() {
             return;
         }
@@ -636,114 +499,10 @@
         self.event(Event::DaemonStopped, String::new());
     }
 
-    /// Asks up, down and across the tree, each daemon only the ones that were not yet asked.
-    fn ask_status(&mut self, asker: Asker, from: Option<LinkId>) {
-        let from_kind = from.and_then(|link| self.links.get(&link)).map(|link| link.kind);
-        let asks_up = from_kind.is_none_or(LinkKind::is_child);
-        let waiting_for: BTreeSet<LinkId> = self
-            .joined_links(|kind| match kind {
-                LinkKind::RelayChild => true,
-                LinkKind::Parent | LinkKind::Peer => asks_up,
-                _ => false,
-            })
-            .into_iter()
-            .filter(|link| Some(*link) != from)
-            .collect();
-        let wait_ms = match (asker, from_kind) {
-            (Asker::Operator { .. }, _) => crate::status::STATUS_WAIT_MS,
-            (_, Some(LinkKind::LeafChild)) => {
-                crate::status::STATUS_WAIT_MS - crate::status::STATUS_WAIT_STEP_MS
-            }
-            (_, Some(LinkKind::RelayChild)) => {
-                crate::status::STATUS_WAIT_MS - 2 * crate::status::STATUS_WAIT_STEP_MS
-            }
-            _ => crate::status::STATUS_WAIT_MS - 3 * crate::status::STATUS_WAIT_STEP_MS,
-        };
-        let ask = StatusAsk {
-            asker,
-            deadline_ms: self.now_ms + wait_ms,
-            waiting_for: waiting_for.clone(),
-            rows: self.own_status_rows(),
-            complete: !asks_up || self.reaches_fleet(),
-        };
-        let ask = self.asks.insert(ask);
-        for link in waiting_for {
-            self.send(link, Message::StatusAsk { ask });
-        }
-        self.finish_asks();
-    }
-
-    /// Whether a question from here can reach every daemon: over a parent, or as a lead over the
-    /// leads of all other regions.
-    fn reaches_fleet(&self) -> bool {
-        if self.has_parent() {
-            return true;
-        }
-        let linked = self.links.values().filter(|link| link.is_joined(LinkKind::Peer));
-        let linked: BTreeSet<&RelayInfo> = linked.filter_map(|link| link.remote.as_ref()).collect();
-        let peers = self.roles.live_peers();
-        self.roles.holds(Role::Lead) && peers.iter().all(|peer| linked.contains(peer))
-    }
-
-    /// This daemon and the leaves that it feeds.
-    fn own_status_rows(&self) -> Vec<StatusRow> {
-        let own = &self.settings.own;
-        let role = match (self.roles.holds(Role::Lead), self.is_relay()) {
-            (true, _) => "lead",
-            (false, true) => "relay",
-            (false, false) => "leaf",
-        };
-        let own_row = StatusRow {
-            region: own.region.clone(),
-            zone: own.zone.clone(),
-            instance: own.instance.clone(),
-            role: role.into(),
-            version: self.log.version(),
-            ready: self.is_ready(),
-            refused_versions: self.refused_versions(),
-            heard_ms_ago: 0,
-        };
-        let leaves = self.links.values().filter(|link| link.is_joined(LinkKind::LeafChild));
-        let leaf_rows = leaves.filter_map(|link| {
-            let remote = link.remote.as_ref()?;
-            Some(StatusRow {
-                region: remote.region.clone(),
-                zone: remote.zone.clone(),
-                instance: remote.instance.clone(),
-                role: "leaf".into(),
-                version: link.remote_version,
-                ready: link.remote_ready,
-                refused_versions: link.remote_refused_versions,
-                heard_ms_ago: self.now_ms - link.heard_ms,
-            })
-        });
-        std::iter::once(own_row).chain(leaf_rows).collect()
-    }
-
     pub(crate) fn refused_versions(&self) -> u16 {
         u16::try_from(self.log.config().refusals.len()).unwrap_or(u16::MAX)
     }
 
-    fn finish_asks(&mut self) {
-        for finished in self.asks.take_finished(self.now_ms) {
-            match finished.asker {
-                Asker::Operator { ticket } => {
-                    let answer = StatusAnswer {
-                        newest_version: self.newest_version,
-                        complete: finished.complete,
-                        rows: finished.rows,
-                        refusals: self.log.config().refusals.clone(),
-                    };
-                    self.output(Output::Status { ticket, answer });
-                }
-                Asker::Link { link, ask } => {
-                    let (rows, complete) = (finished.rows, finished.complete);
-                    self.send(link, Message::StatusReply { ask, rows, complete });
-                }
-            }
-        }
-    }
-
     /// Forgets a link, and what hangs on it.
     fn drop_link(&mut self, id: LinkId) {
         let Some(link) = self.links.remove(&id) else { return };
