--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -74,16 +74,16 @@
     /// Takes in the newest snapshot that passes every check.
     pub(crate) fn take_snapshots(&mut self, objects: &[StoredObject]) {
         for object in objects.iter().rev() {
-            let is_ours = version_of_key(SNAPSHOTS_PREFIX, &object.key).is_some();
-            if is_ours && self.take_snapshot(object.value.as_bytes()) {
+            let Some(version) = version_of_key(SNAPSHOTS_PREFIX, &object.key) else { continue };
+            if self.take_snapshot(object.value.as_bytes(), Some(version)) {
                 return;
             }
         }
     }
 
     /// Tells whether nothing newer than the snapshot remains to be tried.
-    pub(crate) fn take_snapshot(&mut self, raw: &[u8]) -> bool {
-        match self.log.offer_snapshot(raw) {
+    pub(crate) fn take_snapshot(&mut self, raw: &[u8], key_version: Option<u64>) -> bool {
+        match self.log.offer_snapshot(raw, key_version) {
             Ok(false) => true,
             Ok(true) => {
                 let version = self.log.version();
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -14,6 +14,9 @@
 /// Bytes of edits kept for daemons that are a little behind.
 const TAIL_BYTES_MAX: usize = 2_000_000;
 
+/// The highest version that a snapshot may claim, so that versions can always be counted on.
+const VERSION_MAX: u64 = 1 << 53;
+
 /// What became of a version that was offered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Offer {
@@ -65,14 +68,24 @@
         refusal.map_or(Offer::Applied, Offer::Refused)
     }
 
-    /// Takes in a whole configuration if it is newer than the one held and passes every check.
-    pub fn offer_snapshot(&mut self, raw: &[u8]) -> Result<bool, Refusal> {
+    /// Takes in a whole configuration if it is newer than the one held and passes every check. One
+    /// from the store must be of the version that its key names.
+    pub fn offer_snapshot(
+        &mut self,
+        raw: &[u8],
+        key_version: Option<u64>,
+    ) -> Result<bool, Refusal> {
         let snapshot: Snapshot = serde_json::from_slice(raw).map_err(|error| {
             Refusal::new(ResultCode::VersionUndecodable, format!("not a snapshot: {error}"))
         })?;
         if snapshot.config.version <= self.version() {
             return Ok(false);
         }
+        let version = snapshot.config.version;
+        if version > VERSION_MAX || key_version.is_some_and(|named| named != version) {
+            let reason = format!("the snapshot says version {version}, its key {key_version:?}");
+            return Err(Refusal::new(ResultCode::VersionUndecodable, reason));
+        }
         let digest = snapshot.config.tables.digest();
         if digest != snapshot.digest {
             let reason = format!("the tables' digest is {digest}, it says {}", snapshot.digest);
--- a/crates/core/src/sync.rs
+++ b/crates/core/src/sync.rs
@@ -120,6 +120,6 @@
     }
 
     pub(crate) fn receive_snapshot(&mut self, raw: &Arc<[u8]>) {
-        self.take_snapshot(raw);
+        self.take_snapshot(raw, None);
     }
 }
--- a/crates/standins/examples/slopes.rs
+++ b/crates/standins/examples/slopes.rs
@@ -112,7 +112,7 @@
     let us = started.elapsed().as_micros();
     println!("| snapshot of {count} rows a table | {} bytes, {us} us |", snapshot.len());
     let started = Instant::now();
-    ConfigLog::default().offer_snapshot(&snapshot).expect("the snapshot is valid");
+    ConfigLog::default().offer_snapshot(&snapshot, None).expect("the snapshot is valid");
     println!("| taking in that snapshot | {} us |", started.elapsed().as_micros());
     let routes = RouteTable::new(&config);
     let us = per_call_us(REPEATS, || {
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -17,6 +17,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// How long calls of the harness may take, in milliseconds.
@@ -124,6 +125,9 @@
 
 static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
 static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+/// A process that is about to start holds, for a moment, every socket that is open here. So no
+/// port is tried while one starts.
+static SPAWNING: Mutex<()> = Mutex::new(());
 
 impl Fleet {
     /// Makes a folder with keys, and starts the store.
@@ -154,6 +158,7 @@
         let log_path = self.folder.join(format!("{name}.log"));
         let log = File::options().create(true).append(true).open(&log_path);
         let log = log.expect("the log can be made");
+        let _spawning = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
         let child = Command::new(&command[0])
             .args(&command[1..])
             .stdin(Stdio::null())
@@ -355,6 +360,7 @@
 /// An address that nobody listens on. Ports are handed out below the range that the system takes
 /// for outgoing connections, which might otherwise take one before its process has started.
 fn free_addr() -> SocketAddr {
+    let _looking = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
     let first = std::process::id().wrapping_mul(97);
     loop {
         let next = first.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed));
--- a/crates/standins/tests/fleet_faults.rs
+++ b/crates/standins/tests/fleet_faults.rs
@@ -198,6 +198,11 @@
         assert!(answer.contains(expected), "{shown} got {answer}");
         send_raw(caller, input);
     }
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    for length in 0..200 {
+        let garbage: Vec<u8> = (0..length * 7).map(|at| (at * length + 0xc0) as u8).collect();
+        socket.send_to(&garbage, fleet.daemons[0].control_addr).unwrap();
+    }
     assert!(get(operator, "/ready").is_ok_and(|answer| answer.status == 200));
     let answer = fleet.request(0, Method::Get, "nowhere", "/", "x", "").unwrap();
     assert_eq!(answer.header("x-pomeloreach-code"), Some("2001"));
