Numbers from other daemons cannot overflow

Cause, found in reading: a call's deadline and a record's sequence from another daemon were added to without a bound; the highest number would have stopped a debug build. Both are bounded now.

--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -17,7 +17,8 @@
 impl Node {
     /// The local target announced itself, changed, or let its announcement lapse.
     pub(crate) fn report_target(&mut self, report: TargetReport) {
-        let sequence = self.own_record.as_ref().map_or(1, |record| record.sequence + 1);
+        let sequence =
+            self.own_record.as_ref().map_or(1, |record| record.sequence.saturating_add(1));
         let own = self.own();
         let record = Endpoint {
             instance: own.instance.clone(),
@@ -47,7 +48,7 @@
     /// Raises the sequence, so that the record overrules what was said of it elsewhere.
     pub(crate) fn renew_own_record(&mut self) {
         let Some(mut record) = self.own_record.clone() else { return };
-        record.sequence += 1;
+        record.sequence = record.sequence.saturating_add(1);
         self.set_own_record(record);
     }
 
@@ -245,7 +246,7 @@
     fn overrule(&mut self, record: &Endpoint) {
         let Some(mut own) = self.own_record.clone() else { return };
         if (record.gone && record.sequence >= own.sequence) || record.sequence > own.sequence {
-            own.sequence = record.sequence + 1;
+            own.sequence = record.sequence.saturating_add(1);
             self.set_own_record(own);
         }
     }
--- a/crates/daemon/src/door.rs
+++ b/crates/daemon/src/door.rs
@@ -6,6 +6,7 @@
 use http_types::{Body, Method, Request};
 use pomeloreach_core::admission::{Admission, Admit};
 use pomeloreach_core::call::{BODY_BYTES_MAX, CallRequest, CallResponse, Header};
+use pomeloreach_core::check::DEADLINE_MS_MAX;
 use pomeloreach_core::code::ResultCode;
 use pomeloreach_core::endpoint::TargetState;
 use pomeloreach_wire::clock::within_ms;
@@ -121,7 +122,7 @@
     if request.instance != shared.own.instance {
         return refusal(shared, ResultCode::WrongInstance);
     }
-    let deadline_ms = shared.clock.now_ms() + request.deadline_ms;
+    let deadline_ms = shared.clock.now_ms() + request.deadline_ms.min(DEADLINE_MS_MAX.into());
     let place = match enter(shared, deadline_ms).await {
         Ok(place) => place,
         Err(code) => return refusal(shared, code),
