Read once more: one input type for links, one newest version

Links had an event type of their own that was turned one to one into the control plane's inputs; they send those now. The floor kept the highest version heard beside the node's newest version, which is raised just before it and was already taken into account. A doc comment described another type.

--- a/crates/core/src/floor.rs
+++ b/crates/core/src/floor.rs
@@ -45,7 +45,6 @@
     failed_ms: Option<u64>,
     heard_ms: u64,
     witnesses: BTreeSet<Arc<str>>,
-    heard_version: u64,
     probed: BTreeSet<SocketAddr>,
 }
 
@@ -61,7 +60,6 @@
             failed_ms: None,
             heard_ms: now_ms,
             witnesses: BTreeSet::new(),
-            heard_version: 0,
             probed: BTreeSet::new(),
         }
     }
@@ -79,7 +77,7 @@
     }
 
     pub(crate) fn learn(&mut self, version: u64, source: FloorSource) {
-        self.version = Some(version.max(self.heard_version));
+        self.version = Some(version);
         self.source = Some(source);
     }
 
@@ -89,7 +87,6 @@
 
     /// Another daemon says which version it holds.
     pub(crate) fn hear(&mut self, instance: &Arc<str>, version: u64, now_ms: u64) {
-        self.heard_version = self.heard_version.max(version);
         self.heard_ms = now_ms;
         if version > 0 {
             self.witnesses.insert(instance.clone());
--- a/crates/core/src/publisher.rs
+++ b/crates/core/src/publisher.rs
@@ -55,7 +55,7 @@
     written: Option<(u64, Arc<str>)>,
 }
 
-/// An edit that is certainly part of the log, for the daemon to take in.
+/// A publication that has come to its end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Finished {
     pub ticket: u64,
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -1,6 +1,6 @@
 //! The loop that feeds the control plane and carries out what it decides.
 
-use crate::links::{self, LinkInput};
+use crate::links;
 use crate::logging::log_record;
 use crate::shared::Shared;
 use async_channel::{Receiver, Sender};
@@ -18,7 +18,6 @@
 /// What reaches the control loop.
 pub enum ControlInput {
     Node(Input),
-    Link(LinkInput),
     Publish { request: EditRequest, reply: Sender<EditAnswer> },
     Status { reply: Sender<StatusAnswer> },
     Config { reply: Sender<Arc<Config>> },
@@ -57,10 +56,6 @@
     fn take(&mut self, input: ControlInput) {
         match input {
             ControlInput::Node(input) => self.handle(input),
-            ControlInput::Link(input) => {
-                let input = self.shared.links.take(input);
-                self.handle(input);
-            }
             ControlInput::Publish { request, reply } => {
                 let ticket = self.ticket();
                 self.edits.insert(ticket, reply);
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -1,6 +1,5 @@
 //! Control links: one QUIC stream each, with a task that reads it and one that writes it.
 
-use crate::control::ControlInput;
 use crate::shared::{Shared, lock};
 use async_channel::{Receiver, Sender};
 use pomeloreach_core::link::LinkId;
@@ -21,14 +20,6 @@
 pub const STREAM_CONTROL: u8 = 1;
 pub const STREAM_CALL: u8 = 2;
 
-/// Something that happened on a link.
-pub enum LinkInput {
-    Accepted { link: LinkId, addr: SocketAddr },
-    Opened { link: LinkId },
-    Received { link: LinkId, message: Message },
-    Down { link: LinkId },
-}
-
 struct OpenLink {
     outgoing: Sender<Vec<u8>>,
     connection: Option<Connection>,
@@ -68,15 +59,6 @@
         }
     }
 
-    pub fn take(&self, input: LinkInput) -> Input {
-        match input {
-            LinkInput::Accepted { link, addr } => Input::LinkAccepted { link, addr },
-            LinkInput::Opened { link } => Input::LinkOpened { link },
-            LinkInput::Received { link, message } => Input::Received { link, message },
-            LinkInput::Down { link } => Input::LinkDown { link },
-        }
-    }
-
     pub fn control_bytes(&self) -> ControlBytes {
         let mut sum = lock(&self.closed_bytes).clone();
         for (link, entry) in lock(&self.open).iter() {
@@ -124,11 +106,11 @@
     shared.spawn(async move {
         if let Some((connection, send, receive)) = dial(&task_shared, addr).await {
             task_shared.links.attach(link, &connection);
-            input(&task_shared, LinkInput::Opened { link }).await;
+            task_shared.input(Input::LinkOpened { link }).await;
             run(&task_shared, link, send, receive, queued).await;
         }
         task_shared.links.forget(link);
-        input(&task_shared, LinkInput::Down { link }).await;
+        task_shared.input(Input::LinkDown { link }).await;
     });
 }
 
@@ -150,10 +132,10 @@
     let queued = shared.links.register(link);
     shared.links.attach(link, &connection);
     let addr = connection.remote_address();
-    input(&shared, LinkInput::Accepted { link, addr }).await;
+    shared.input(Input::LinkAccepted { link, addr }).await;
     run(&shared, link, send, receive, queued).await;
     shared.links.forget(link);
-    input(&shared, LinkInput::Down { link }).await;
+    shared.input(Input::LinkDown { link }).await;
 }
 
 async fn run(
@@ -174,12 +156,8 @@
     };
     let reading = async {
         while let Ok(message) = frame::read(&mut receive, CONTROL_FRAME_BYTES_MAX).await {
-            input(shared, LinkInput::Received { link, message }).await;
+            shared.input(Input::Received { link, message }).await;
         }
     };
     futures_lite::future::or(writing, reading).await;
 }
-
-async fn input(shared: &Shared, input: LinkInput) {
-    shared.inputs.send(ControlInput::Link(input)).await.ok();
-}
