--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -6,7 +6,7 @@
 
 /// The share that a new measurement has in the smoothed service time.
 const SERVICE_TIME_SHARE: f64 = 0.1;
-/// Requests that wait for each slot at the most.
+/// Requests that wait for each slot at the most, unless the owner of the queue says otherwise.
 const QUEUED_PER_SLOT: usize = 1;
 
 /// What becomes of a request that arrives.
@@ -17,10 +17,17 @@
     Refuse(ResultCode),
 }
 
+/// A request at the door, with what its place in the queue depends on.
 #[derive(Clone, Copy, Debug)]
-struct Waiting {
-    ticket: u64,
-    deadline_ms: u64,
+pub struct Arrival {
+    pub ticket: u64,
+    /// When nobody waits for the answer any more.
+    pub deadline_ms: u64,
+    /// When the answer should be there; a request that would miss this by waiting is refused, so
+    /// that a full queue does not make every answer late.
+    pub goal_ms: u64,
+    /// The rank of the request; a lower one goes first.
+    pub rank: u8,
 }
 
 /// The requests at one target.
@@ -29,7 +36,9 @@
     state: TargetState,
     slots: u16,
     running: u16,
-    queue: VecDeque<Waiting>,
+    /// In the order in which requests will run.
+    queue: VecDeque<Arrival>,
+    queued_per_slot: usize,
     service_ms: f64,
 }
 
@@ -40,12 +49,18 @@
             slots: 0,
             running: 0,
             queue: VecDeque::new(),
+            queued_per_slot: QUEUED_PER_SLOT,
             service_ms: 0.0,
         }
     }
 }
 
 impl Admission {
+    /// A door whose queue holds so many requests for each slot.
+    pub fn with_queue(queued_per_slot: usize) -> Self {
+        Self { queued_per_slot, ..Self::default() }
+    }
+
     /// Takes over what the target says of itself.
     pub fn announce(&mut self, state: TargetState, slots: u16) {
         self.state = state;
@@ -56,6 +71,23 @@
         self.running + u16::try_from(self.queue.len()).unwrap_or(u16::MAX - self.running)
     }
 
+    pub fn slots(&self) -> u16 {
+        self.slots
+    }
+
+    pub fn running(&self) -> u16 {
+        self.running
+    }
+
+    pub fn waiting(&self) -> u16 {
+        self.in_flight() - self.running
+    }
+
+    /// The smoothed time that a request takes at the target, in milliseconds.
+    pub fn service_ms(&self) -> f64 {
+        self.service_ms
+    }
+
     pub fn state(&self) -> TargetState {
         self.state
     }
@@ -66,7 +98,7 @@
     }
 
     /// Decides over a request with some time left.
-    pub fn arrive(&mut self, ticket: u64, now_ms: u64, deadline_ms: u64) -> Admit {
+    pub fn arrive(&mut self, now_ms: u64, arrival: Arrival) -> Admit {
         match self.state {
             TargetState::Ready => {}
             TargetState::Draining => return Admit::Refuse(ResultCode::TargetDraining),
@@ -74,24 +106,37 @@
                 return Admit::Refuse(ResultCode::TargetUnreachable);
             }
         }
-        if now_ms >= deadline_ms {
+        if now_ms >= arrival.deadline_ms {
             return Admit::Refuse(ResultCode::DeadlineBeforeRun);
         }
         if self.running < self.slots {
             self.running += 1;
             return Admit::Run;
         }
-        let slots = usize::from(self.slots).max(1);
-        let ahead = self.queue.len() + 1;
-        let wait_ms = ahead as f64 * self.service_ms / slots as f64;
-        let left_ms = (deadline_ms - now_ms) as f64;
-        if ahead > slots * QUEUED_PER_SLOT || wait_ms + self.service_ms > left_ms {
+        let place = self.queue.iter().take_while(|other| other.rank <= arrival.rank).count();
+        let left_ms = if self.service_ms > arrival.goal_ms.saturating_sub(now_ms) as f64 {
+            arrival.deadline_ms - now_ms
+        } else {
+            arrival.goal_ms - now_ms
+        };
+        let is_full = self.queue.len() >= usize::from(self.slots).max(1) * self.queued_per_slot;
+        if is_full || self.wait_ms(place) + self.service_ms > left_ms as f64 {
             return Admit::Refuse(ResultCode::TargetFull);
         }
-        self.queue.push_back(Waiting { ticket, deadline_ms });
+        self.queue.insert(place, arrival);
         Admit::Queue
     }
 
+    /// How long a request with so many others before it waits, in milliseconds.
+    fn wait_ms(&self, ahead: usize) -> f64 {
+        (ahead + 1) as f64 * self.service_ms / f64::from(self.slots.max(1))
+    }
+
+    /// How long a request that arrives last would wait, in milliseconds.
+    pub fn backlog_ms(&self) -> f64 {
+        if self.running < self.slots { 0.0 } else { self.wait_ms(self.queue.len()) }
+    }
+
     /// A running request ended. Returns the next to run, if one waits that can still make it, and
     /// those whose time is over.
     pub fn finish(&mut self, now_ms: u64, service_ms: u64) -> (Option<u64>, Vec<u64>) {
@@ -111,7 +156,7 @@
 
     /// Takes out the requests that waited past their deadlines.
     pub fn expire(&mut self, now_ms: u64) -> Vec<u64> {
-        let is_over = |waiting: &Waiting| now_ms >= waiting.deadline_ms;
+        let is_over = |waiting: &Arrival| now_ms >= waiting.deadline_ms;
         let expired = self.queue.iter().filter(|w| is_over(w)).map(|w| w.ticket).collect();
         self.queue.retain(|waiting| !is_over(waiting));
         expired
--- a/crates/core/src/check.rs
+++ b/crates/core/src/check.rs
@@ -15,6 +15,8 @@
 pub const SET_NAMES_MAX: usize = 16;
 /// The longest deadline of a route, in milliseconds.
 pub const DEADLINE_MS_MAX: u32 = 600_000;
+/// The largest weight of a pool in a route.
+pub const WEIGHT_MAX: u32 = 1_000_000;
 /// The most attempts of one request.
 pub const ATTEMPTS_MAX: u8 = 10;
 /// The longest slow start of a target, in milliseconds.
@@ -29,10 +31,12 @@
     }
     for (name, row) in &tables.routes {
         check_route(name, &row.value)?;
-        if !tables.pools.contains_key(&row.value.pool) {
-            let reason =
-                format!("route '{name}' names pool '{}', which does not exist", row.value.pool);
-            return Err(Refusal::new(ResultCode::VersionPoolMissing, reason));
+        let named = std::iter::once(&row.value.pool).chain(row.value.weights.keys());
+        for pool in named {
+            if !tables.pools.contains_key(pool) {
+                let reason = format!("route '{name}' names pool '{pool}', which does not exist");
+                return Err(Refusal::new(ResultCode::VersionPoolMissing, reason));
+            }
         }
     }
     check_ambiguity(tables)
@@ -64,6 +68,20 @@
              ASCII characters"
         )));
     }
+    check_set(&place, "weights", route.weights.len())?;
+    for (pool, weight) in &route.weights {
+        check_name(&place, "pool", pool)?;
+        check_range(&place, "weight", *weight, 0, WEIGHT_MAX)?;
+    }
+    if !route.weights.is_empty() && route.weights.values().all(|weight| *weight == 0) {
+        return Err(out_of_bounds(format!("{place}: every weight is 0")));
+    }
+    if let Some(attempts_max) = route.attempts_max {
+        check_range(&place, "attempts_max", attempts_max.into(), 1, ATTEMPTS_MAX.into())?;
+    }
+    if let Some(target_latency_ms) = route.target_latency_ms {
+        check_range(&place, "target_latency_ms", target_latency_ms, 1, DEADLINE_MS_MAX)?;
+    }
     check_range(&place, "deadline_ms", route.deadline_ms, 1, DEADLINE_MS_MAX)
 }
 
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -11,6 +11,8 @@
     DaemonReady = 101,
     DaemonDraining = 102,
     DaemonStopped = 103,
+    SettingsChanged = 104,
+    SettingsRefused = 105,
     VersionApplied = 200,
     VersionRefused = 201,
     SnapshotApplied = 202,
@@ -33,10 +35,16 @@
     TargetAnnounced = 500,
     TargetLapsed = 501,
     EndpointGone = 502,
+    TargetLeft = 503,
+    TargetUnreachable = 504,
+    HeartbeatRefused = 505,
     StoreFailing = 600,
     StoreRecovered = 601,
     PeerRefused = 700,
     InputRefused = 701,
+    RequestFailed = 800,
+    AttemptRepeated = 801,
+    HeaderDropped = 802,
 }
 
 impl Event {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod log;
 pub mod matching;
 pub mod membership;
+pub mod mesh;
 pub mod message;
 pub mod node;
 pub mod publisher;
--- a/crates/core/src/matching.rs
+++ b/crates/core/src/matching.rs
@@ -11,6 +11,15 @@
     pub name: Arc<str>,
     pub route: Route,
     pub pool: Pool,
+    /// The pools that share the route's requests, with their weights. Never empty.
+    pub parts: Vec<RoutePart>,
+}
+
+/// One pool of a route and the weight it has.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RoutePart {
+    pub pool: Pool,
+    pub weight: u32,
 }
 
 /// The routes of one version by host, the most specific first.
@@ -25,9 +34,20 @@
         let mut by_host: BTreeMap<Arc<str>, Vec<Arc<MatchedRoute>>> = BTreeMap::new();
         for (name, row) in &config.tables.routes {
             let route = row.value.clone();
-            let pool = config.tables.pools.get(&route.pool);
-            let pool = pool.expect("a held route always has its pool").value.clone();
-            let matched = MatchedRoute { name: name.clone(), route, pool };
+            let pool_of = |name: &Arc<str>| {
+                let pool = config.tables.pools.get(name);
+                pool.expect("a held route always has its pool").value.clone()
+            };
+            let pool = pool_of(&route.pool);
+            let mut parts: Vec<RoutePart> = route
+                .weights
+                .iter()
+                .map(|(name, weight)| RoutePart { pool: pool_of(name), weight: *weight })
+                .collect();
+            if parts.is_empty() {
+                parts.push(RoutePart { pool: pool.clone(), weight: 1 });
+            }
+            let matched = MatchedRoute { name: name.clone(), route, pool, parts };
             by_host.entry(matched.route.host.clone()).or_default().push(Arc::new(matched));
         }
         for routes in by_host.values_mut() {
--- /dev/null
+++ b/crates/core/src/mesh/delta.rs
@@ -0,0 +1,72 @@
+//! Row changes between two published versions, so that a new version costs what it changes.
+
+use crate::mesh::published::{CallerLimits, Published};
+use crate::row::{Pool, Route};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// What turns one version into another. Absent rows are deleted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// The version that the changes apply to; 0 is the empty configuration.
+    pub base_version: u64,
+    pub version: u64,
+    pub routes: BTreeMap<Arc<str>, Option<Route>>,
+    pub pools: BTreeMap<Arc<str>, Option<Pool>>,
+    pub limits: CallerLimits,
+    /// The digest of the version after the changes.
+    pub digest: String,
+}
+
+impl Delta {
+    pub fn between(base: &Published, next: &Published) -> Self {
+        Self {
+            base_version: base.version,
+            version: next.version,
+            routes: changes(&base.routes, &next.routes),
+            pools: changes(&base.pools, &next.pools),
+            limits: next.limits,
+            digest: next.digest(),
+        }
+    }
+
+    /// Applies the changes, or returns nothing if they do not lead to the version that was meant.
+    pub fn apply(&self, base: &Published) -> Option<Published> {
+        if base.version != self.base_version {
+            return None;
+        }
+        let next = Published {
+            version: self.version,
+            routes: changed(&base.routes, &self.routes),
+            pools: changed(&base.pools, &self.pools),
+            limits: self.limits,
+        };
+        (next.digest() == self.digest).then_some(next)
+    }
+}
+
+fn changes<T: Clone + PartialEq>(
+    base: &BTreeMap<Arc<str>, T>,
+    next: &BTreeMap<Arc<str>, T>,
+) -> BTreeMap<Arc<str>, Option<T>> {
+    let set = next.iter().filter(|(name, value)| base.get(*name) != Some(*value));
+    let deleted = base.keys().filter(|name| !next.contains_key(*name));
+    set.map(|(name, value)| (name.clone(), Some(value.clone())))
+        .chain(deleted.map(|name| (name.clone(), None)))
+        .collect()
+}
+
+fn changed<T: Clone>(
+    base: &BTreeMap<Arc<str>, T>,
+    changes: &BTreeMap<Arc<str>, Option<T>>,
+) -> BTreeMap<Arc<str>, T> {
+    let mut next = base.clone();
+    for (name, value) in changes {
+        match value {
+            Some(value) => next.insert(name.clone(), value.clone()),
+            None => next.remove(name),
+        };
+    }
+    next
+}
--- /dev/null
+++ b/crates/core/src/mesh/message.rs
@@ -0,0 +1,74 @@
+//! The messages on a link between two daemons.
+//!
+//! Each daemon opens one link to each peer. The daemon that opened it sends calls; the other one
+//! sends its state, answers and row changes.
+
+use crate::call::{CallRequest, CallResponse};
+use crate::mesh::state::{DaemonRecord, DaemonState, TargetLoad};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+/// One message.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum LinkMessage {
+    /// The first message of the daemon that opened the link, with the peers that it knows.
+    Hello {
+        own: DaemonRecord,
+        known: Vec<DaemonRecord>,
+    },
+    /// The first message of the other one.
+    Welcome {
+        own: DaemonRecord,
+        known: Vec<DaemonRecord>,
+        state: DaemonState,
+    },
+    State(DaemonState),
+    /// Shows the accepting daemon that the link is alive.
+    Ping,
+    Call(Call),
+    Cancel {
+        call: u64,
+    },
+    Answer(Answer),
+    /// Asks for what turns a held version into the newest one.
+    AskConfig {
+        held_version: u64,
+    },
+    /// A [`crate::mesh::delta::Delta`] as JSON: rows leave defaults out, which the links' own
+    /// encoding cannot express.
+    Config {
+        delta: Bytes,
+    },
+}
+
+/// A request for the target beside the other daemon.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Call {
+    pub call: u64,
+    pub request: CallRequest,
+    pub terms: CallTerms,
+    pub body: Bytes,
+}
+
+/// What the door of the target decides by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallTerms {
+    /// The time left until the caller's latency goal, in milliseconds.
+    pub goal_ms: u64,
+    /// The rank of the request; a lower one goes first.
+    pub rank: u8,
+    pub is_idempotent: bool,
+}
+
+/// What became of a call.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Answer {
+    pub call: u64,
+    pub response: CallResponse,
+    /// Whether the request reached the target, which may have refused it.
+    pub reached_target: bool,
+    /// After a refusal: when the door expects to have room, in milliseconds.
+    pub retry_after_ms: u32,
+    pub load: TargetLoad,
+    pub body: Bytes,
+}
--- /dev/null
+++ b/crates/core/src/mesh/peers.rs
@@ -0,0 +1,214 @@
+//! The table of the other daemons.
+
+use crate::endpoint::TargetState;
+use crate::mesh::state::{DaemonRecord, DaemonState, TargetLoad, TargetSummary};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// The first pause before a peer is dialled again, in milliseconds.
+const REDIAL_MS: u64 = 250;
+/// The longest pause, in milliseconds. A VM that comes back dials by itself, so that this only
+/// bounds how long two daemons can miss each other.
+const REDIAL_MS_MAX: u64 = 4_000;
+/// How long a failed call counts against the way to a peer, in milliseconds.
+const FAILED_CALL_MS: u64 = 2_000;
+
+/// One other daemon.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    pub record: DaemonRecord,
+    /// What it said last; absent until it answered on a link.
+    pub state: Option<DaemonState>,
+    /// When it said that.
+    pub heard_ms: u64,
+    /// Whether calls can be sent to it now.
+    pub is_linked: bool,
+    /// Calls of this daemon that it has not answered.
+    pub outstanding: u16,
+    /// Those among them that its last report cannot know of yet.
+    pub unreported: u16,
+    /// When a call to it was last lost.
+    failed_ms: Option<u64>,
+    redial_at_ms: u64,
+    redials: u32,
+}
+
+impl Peer {
+    fn new(record: DaemonRecord, now_ms: u64) -> Self {
+        Self {
+            record,
+            state: None,
+            heard_ms: now_ms,
+            is_linked: false,
+            outstanding: 0,
+            unreported: 0,
+            failed_ms: None,
+            redial_at_ms: now_ms,
+            redials: 0,
+        }
+    }
+
+    /// The target beside it, if that takes requests.
+    pub fn ready_target(&self) -> Option<&TargetSummary> {
+        let state = self.state.as_ref()?;
+        let target = state.target.as_ref()?;
+        let is_ready = self.is_linked && !state.leaving && target.state == TargetState::Ready;
+        is_ready.then_some(target)
+    }
+
+    /// How long ago the store is known to have held no newer configuration, in milliseconds.
+    pub fn confirmed_age_ms(&self, now_ms: u64) -> Option<u64> {
+        let age_ms = self.state.as_ref()?.config.confirmed_age_ms?;
+        Some(u64::from(age_ms) + now_ms.saturating_sub(self.heard_ms))
+    }
+
+    /// Whether a call to it was lost lately.
+    pub fn failed_lately(&self, now_ms: u64) -> bool {
+        self.failed_ms.is_some_and(|failed_ms| now_ms < failed_ms + FAILED_CALL_MS)
+    }
+}
+
+/// All other daemons that this one has heard of.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    own: DaemonRecord,
+    peers: BTreeMap<Arc<str>, Peer>,
+}
+
+impl Peers {
+    pub fn new(own: DaemonRecord) -> Self {
+        Self { own, peers: BTreeMap::new() }
+    }
+
+    pub fn own(&self) -> &DaemonRecord {
+        &self.own
+    }
+
+    pub fn get(&self, name: &str) -> Option<&Peer> {
+        self.peers.get(name)
+    }
+
+    pub fn all(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    pub fn linked(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(|peer| peer.is_linked)
+    }
+
+    /// Every record, also this daemon's own.
+    pub fn records(&self) -> Vec<DaemonRecord> {
+        let others = self.peers.values().map(|peer| peer.record.clone());
+        others.chain(std::iter::once(self.own.clone())).collect()
+    }
+
+    /// Takes in a record that was heard of. A daemon itself speaks for its own record; what others
+    /// say of it only introduces it, since they may know an earlier start.
+    pub fn learn(&mut self, record: DaemonRecord, from_itself: bool, now_ms: u64) {
+        if record.name == self.own.name {
+            return;
+        }
+        match self.peers.get_mut(&record.name) {
+            None => {
+                self.peers.insert(record.name.clone(), Peer::new(record, now_ms));
+            }
+            Some(peer) if from_itself && peer.record != record => {
+                peer.record = record;
+                peer.redial_at_ms = now_ms;
+                peer.redials = 0;
+            }
+            Some(peer) if !peer.is_linked && peer.record.link_addr != record.link_addr => {
+                peer.record = record;
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Peers to dial now. Marks them as being dialled.
+    pub fn due(&mut self, now_ms: u64) -> Vec<DaemonRecord> {
+        let mut due = Vec::new();
+        for peer in self.peers.values_mut() {
+            if !peer.is_linked && now_ms >= peer.redial_at_ms {
+                let pause_ms = (REDIAL_MS << peer.redials.min(8)).min(REDIAL_MS_MAX);
+                peer.redials += 1;
+                peer.redial_at_ms = now_ms + pause_ms.max(REDIAL_MS);
+                due.push(peer.record.clone());
+            }
+        }
+        due
+    }
+
+    /// A link to the peer is open.
+    pub fn linked_up(&mut self, name: &str, state: DaemonState, now_ms: u64) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.is_linked = true;
+            peer.redials = 0;
+            peer.outstanding = 0;
+            peer.failed_ms = None;
+        }
+        self.report(name, state, now_ms);
+    }
+
+    /// The link to the peer is gone.
+    pub fn link_down(&mut self, name: &str, now_ms: u64) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.is_linked = false;
+            peer.redial_at_ms = peer.redial_at_ms.min(now_ms + REDIAL_MS).max(now_ms);
+        }
+    }
+
+    /// The peer dialled this daemon, so that it can be reached again.
+    pub fn came_back(&mut self, name: &str, now_ms: u64) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.redial_at_ms = now_ms;
+            peer.redials = 0;
+        }
+    }
+
+    pub fn report(&mut self, name: &str, state: DaemonState, now_ms: u64) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.state = Some(state);
+            peer.heard_ms = now_ms;
+            peer.unreported = 0;
+        }
+    }
+
+    pub fn report_load(&mut self, name: &str, load: TargetLoad, now_ms: u64) {
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        let Some(state) = &mut peer.state else { return };
+        if let Some(target) = &mut state.target {
+            target.load = load;
+            // The confirmation in the state is as old as before.
+            if let Some(age_ms) = &mut state.config.confirmed_age_ms {
+                let passed_ms = now_ms.saturating_sub(peer.heard_ms);
+                *age_ms = age_ms.saturating_add(u32::try_from(passed_ms).unwrap_or(u32::MAX));
+            }
+            peer.heard_ms = now_ms;
+            peer.unreported = 0;
+        }
+    }
+
+    /// The target beside the peer takes no more requests, whatever its last report says.
+    pub fn target_refused(&mut self, name: &str) {
+        let state = self.peers.get_mut(name).and_then(|peer| peer.state.as_mut());
+        if let Some(target) = state.and_then(|state| state.target.as_mut()) {
+            target.state = TargetState::Lapsed;
+        }
+    }
+
+    pub fn call_began(&mut self, name: &str) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.outstanding = peer.outstanding.saturating_add(1);
+            peer.unreported = peer.unreported.saturating_add(1);
+        }
+    }
+
+    pub fn call_ended(&mut self, name: &str, was_lost: bool, now_ms: u64) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.outstanding = peer.outstanding.saturating_sub(1);
+            if was_lost {
+                peer.failed_ms = Some(now_ms);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/mesh/shares.rs
@@ -0,0 +1,48 @@
+//! Splits a route's requests over its pools by weight.
+//!
+//! Random choice strays from the weights over short spans; this interleaves the pools evenly, so
+//! that each keeps its share over any span of requests.
+
+use crate::matching::{MatchedRoute, RoutePart};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// What each pool of each route is still owed.
+#[derive(Clone, Debug, Default)]
+pub struct Shares {
+    routes: BTreeMap<Arc<str>, BTreeMap<Arc<str>, i64>>,
+}
+
+impl Shares {
+    /// Chooses the pool of the next request: the one that is owed most.
+    pub fn next<'a>(&mut self, route: &'a MatchedRoute) -> &'a RoutePart {
+        let [first, rest @ ..] = route.parts.as_slice() else {
+            unreachable!("a matched route has at least one pool");
+        };
+        if rest.is_empty() {
+            return first;
+        }
+        let owed = self.routes.entry(route.name.clone()).or_default();
+        owed.retain(|service, _| route.parts.iter().any(|part| part.pool.service == *service));
+        let total: i64 = route.parts.iter().map(|part| i64::from(part.weight)).sum();
+        let mut chosen = first;
+        let mut most = i64::MIN;
+        for part in &route.parts {
+            let balance = owed.entry(part.pool.service.clone()).or_insert(0);
+            *balance += i64::from(part.weight);
+            if *balance > most && part.weight > 0 {
+                most = *balance;
+                chosen = part;
+            }
+        }
+        if let Some(balance) = owed.get_mut(&chosen.pool.service) {
+            *balance -= total;
+        }
+        chosen
+    }
+
+    /// Forgets routes that are no longer in force.
+    pub fn retain(&mut self, is_in_force: impl Fn(&str) -> bool) {
+        self.routes.retain(|name, _| is_in_force(name));
+    }
+}
--- /dev/null
+++ b/crates/core/src/mesh/state.rs
@@ -0,0 +1,61 @@
+//! What a daemon tells its peers of itself and of the target beside it.
+
+use crate::endpoint::TargetState;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Where a daemon stands and can be reached. It stays the same for one start of the daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DaemonRecord {
+    /// The VM's name; a daemon that starts again keeps it.
+    pub name: Arc<str>,
+    /// Tells the starts of a daemon apart.
+    pub start_id: u64,
+    pub region: Arc<str>,
+    pub zone: Arc<str>,
+    pub link_addr: SocketAddr,
+}
+
+/// How busy a target is, as the daemon beside it counts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TargetLoad {
+    pub running: u16,
+    pub waiting: u16,
+    pub slots: u16,
+    /// The smoothed time of a request at the target, in milliseconds.
+    pub service_ms: f32,
+    /// The smoothed share of requests that failed at the target, in thousandths.
+    pub failed_permille: u16,
+}
+
+/// The target beside a daemon.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetSummary {
+    /// The name of this start of the target.
+    pub id: Arc<str>,
+    pub service: Arc<str>,
+    pub state: TargetState,
+    pub load: TargetLoad,
+}
+
+/// What a daemon knows of the configuration in the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigState {
+    /// The version in force; 0 before the first one.
+    pub version: u64,
+    /// How long ago the store showed that no newer version exists, in milliseconds. Absent if this
+    /// daemon has no such knowledge from the store itself.
+    pub confirmed_age_ms: Option<u32>,
+    /// The shortest time of a call to the store, in milliseconds.
+    pub store_rtt_ms: Option<u32>,
+}
+
+/// The changing part of what a daemon tells its peers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DaemonState {
+    /// Whether the daemon is about to stop and takes no new requests.
+    pub leaving: bool,
+    pub target: Option<TargetSummary>,
+    pub config: ConfigState,
+}
--- a/crates/core/src/row.rs
+++ b/crates/core/src/row.rs
@@ -1,7 +1,7 @@
 //! The rows of the two tables that operators edit, see `docs/SETTINGS.md` for every field.
 
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use strum::{Display, EnumString};
 
@@ -36,6 +36,18 @@
     /// The time a request has from its arrival, in milliseconds, unless the caller gives less.
     #[serde(default = "default_deadline_ms")]
     pub deadline_ms: u32,
+    /// Pools that share the route's requests by weight; empty means that `pool` takes all of them.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub weights: BTreeMap<Arc<str>, u32>,
+    /// The time within which an answer is worth most to the caller, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target_latency_ms: Option<u32>,
+    /// The rank of the route's requests where they compete; 0 goes first.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub priority: u8,
+    /// How many targets one request may reach; absent means what the pool says.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub attempts_max: Option<u8>,
 }
 
 /// Which targets serve a named destination.
@@ -59,6 +71,28 @@
     /// How long a target that became ready takes to reach its full share, in milliseconds.
     #[serde(default = "default_slow_start_ms")]
     pub slow_start_ms: u32,
+    /// Connections that one target accepts from all callers; absent means no bound.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub connections_max: Option<u32>,
+}
+
+impl Pool {
+    /// A pool of one service with every other field at its default.
+    pub fn of(service: Arc<str>) -> Self {
+        Self {
+            service,
+            regions: BTreeSet::new(),
+            attempts_max: default_attempts_max(),
+            retry_budget_percent: default_retry_budget_percent(),
+            ejected_max_percent: default_ejected_max_percent(),
+            slow_start_ms: default_slow_start_ms(),
+            connections_max: None,
+        }
+    }
+}
+
+fn is_default(value: &u8) -> bool {
+    *value == 0
 }
 
 fn default_path_prefix() -> Arc<str> {
--- a/crates/daemon/src/cmd/check.rs
+++ b/crates/daemon/src/cmd/check.rs
@@ -17,7 +17,9 @@
 impl Check {
     pub fn run(self) -> Result<(), DaemonError> {
         let settings = Settings::read(&self.settings)?;
-        crate::quic::check_keys(&settings.tls)?;
+        if let Some(tls) = &settings.tls {
+            crate::quic::check_keys(tls)?;
+        }
         println!("{} is valid", self.settings.display());
         Ok(())
     }
--- a/crates/daemon/src/cmd/run.rs
+++ b/crates/daemon/src/cmd/run.rs
@@ -18,6 +18,9 @@
     pub fn run(self) -> Result<(), DaemonError> {
         let settings = Settings::read(&self.settings)?;
         crate::logging::start(settings.log_level);
-        crate::shared::run(settings)
+        match settings.mesh.clone() {
+            Some(mesh) => crate::mesh::run(self.settings, settings, mesh),
+            None => crate::shared::run(settings),
+        }
     }
 }
--- a/crates/daemon/src/door.rs
+++ b/crates/daemon/src/door.rs
@@ -4,7 +4,7 @@
 use crate::shared::{Shared, lock};
 use async_channel::Sender;
 use http_types::{Body, Method, Request};
-use pomeloreach_core::admission::{Admission, Admit};
+use pomeloreach_core::admission::{Admission, Admit, Arrival};
 use pomeloreach_core::call::{BODY_BYTES_MAX, CallRequest, CallResponse, Header};
 use pomeloreach_core::check::DEADLINE_MS_MAX;
 use pomeloreach_core::code::ResultCode;
@@ -148,7 +148,8 @@
         let mut state = lock(&shared.door.state);
         state.next_ticket += 1;
         let ticket = state.next_ticket;
-        match state.admission.arrive(ticket, now_ms, deadline_ms) {
+        let arrival = Arrival { ticket, deadline_ms, goal_ms: deadline_ms, rank: 0 };
+        match state.admission.arrive(now_ms, arrival) {
             Admit::Run => return Ok(Place { shared, since_ms: now_ms }),
             Admit::Refuse(code) => return Err(code),
             Admit::Queue => {
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -15,6 +15,10 @@
     Keys { path: PathBuf, reason: String },
     #[error("Cannot listen on {addr}: {source}.")]
     Listen { addr: SocketAddr, source: std::io::Error },
+    #[error("The system gives no random numbers: {0}.")]
+    Random(String),
+    #[error("Settings without a section 'mesh' need the section 'tls'.")]
+    TlsMissing,
     #[error("Cannot wait for signals: {0}.")]
     Signals(std::io::Error),
 }
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -35,6 +35,10 @@
         | Event::SnapshotRefused
         | Event::StoreFailing
         | Event::PeerRefused
+        | Event::SettingsRefused
+        | Event::HeartbeatRefused
+        | Event::TargetUnreachable
+        | Event::HeaderDropped
         | Event::InputRefused => log::warn!(event = number, name = name.as_str(); "{detail}"),
         _ => log::info!(event = number, name = name.as_str(); "{detail}"),
     }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,6 +8,7 @@
 mod error;
 mod links;
 mod logging;
+mod mesh;
 mod metrics;
 mod operators;
 mod peers;
--- /dev/null
+++ b/crates/daemon/src/mesh/directory.rs
@@ -0,0 +1,66 @@
+//! How daemons find each other: each writes its record to the store, and lists the others.
+//!
+//! Writing before listing makes sure that of two daemons that start together, one finds the other.
+//! From then on links carry what is known, so that the store may be away.
+
+use super::Mesh;
+use crate::logging::log_event;
+use pomeloreach_core::event::Event;
+use pomeloreach_platform::store::{StoreClient, StoreError};
+use pomeloreach_wire::clock::sleep_ms;
+use std::rc::Rc;
+
+/// How long the store may take for an answer, in milliseconds.
+const ANSWER_MS: u64 = 1_500;
+/// The first pause after a failed call, in milliseconds.
+const RETRY_MS: u64 = 250;
+/// The longest pause, in milliseconds: entries must be back two seconds after the store is.
+const RETRY_MS_MAX: u64 = 1_000;
+/// How often the list is read again, in milliseconds, for a daemon that was missed. Links tell of
+/// new daemons much sooner.
+const REFRESH_MS: u64 = 12_000;
+
+/// Announces this daemon, and learns of the others.
+pub async fn keep(mesh: Rc<Mesh>) {
+    let store = StoreClient::new(mesh.executor.clone(), mesh.settings.platform_addr);
+    until_done(&mesh, || store.announce(&mesh.own, ANSWER_MS)).await;
+    let mut may_be_old = false;
+    loop {
+        let records = until_done(&mesh, || store.daemons(may_be_old, ANSWER_MS)).await;
+        let now_ms = mesh.now_ms();
+        for record in records {
+            mesh.peers.borrow_mut().learn(record, false, now_ms);
+        }
+        may_be_old = true;
+        sleep_ms(mesh.jittered(REFRESH_MS)).await;
+    }
+}
+
+/// Repeats a call until the store confirms it.
+async fn until_done<T, F, Fut>(mesh: &Rc<Mesh>, call: F) -> T
+where
+    F: Fn() -> Fut,
+    Fut: Future<Output = Result<T, StoreError>>,
+{
+    let mut pause_ms = RETRY_MS;
+    loop {
+        let began_ms = mesh.now_ms();
+        match call().await {
+            Ok(done) => {
+                mesh.config.note_rtt(mesh.now_ms() - began_ms);
+                return done;
+            }
+            Err(error) => log_event(Event::StoreFailing, &format!("call=directory reason={error}")),
+        }
+        sleep_ms(mesh.jittered(pause_ms)).await;
+        pause_ms = (pause_ms * 2).min(RETRY_MS_MAX);
+    }
+}
+
+/// Removes the record of a daemon whose VM is being removed.
+pub async fn withdraw(mesh: &Rc<Mesh>) {
+    let store = StoreClient::new(mesh.executor.clone(), mesh.settings.platform_addr);
+    if let Err(error) = store.withdraw(&mesh.own.name, ANSWER_MS).await {
+        log_event(Event::StoreFailing, &format!("call=withdraw reason={error}"));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/mesh/door.rs
@@ -0,0 +1,470 @@
+//! The door of the target beside this daemon: admission, hand-over on kept connections, and what
+//! became of each request.
+
+use super::Mesh;
+use crate::logging::log_event;
+use async_channel::{Receiver, Sender};
+use futures_lite::future::{or, pending};
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
+use pomeloreach_core::admission::{Admission, Admit, Arrival};
+use pomeloreach_core::call::{BODY_BYTES_MAX, CallRequest, CallResponse, Header};
+use pomeloreach_core::code::ResultCode;
+use pomeloreach_core::endpoint::TargetState;
+use pomeloreach_core::event::Event;
+use pomeloreach_core::mesh::message::CallTerms;
+use pomeloreach_core::mesh::state::TargetLoad;
+use pomeloreach_platform::headers;
+use pomeloreach_wire::clock::{sleep_ms, within_ms};
+use pomeloreach_wire::h1::{self, Connection, ExchangeError, WholeAnswer, WholeRequest};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Requests that wait for each slot at the most. The time that they would wait is the tighter
+/// bound; this one holds while no service time is known.
+const QUEUED_PER_SLOT: usize = 4;
+/// How long opening a connection to a target on the same VM may take, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 500;
+/// How long a connection may stay idle if the target names no limit, in milliseconds.
+const IDLE_MS: u64 = 4_000;
+/// How much sooner than the target's own limit an idle connection is given up, in milliseconds.
+const IDLE_MARGIN_MS: u64 = 1_000;
+/// How long work for a caller that has left may go on, in milliseconds: an answer within this time
+/// saves the connection, which would otherwise have to be closed to stop the target.
+const CANCEL_MS: u64 = 300;
+/// The weight of a new result in the smoothed share of failures.
+const FAILED_SHARE: f64 = 0.08;
+/// The time in which the share of failures halves without results, in milliseconds, so that a
+/// target that failed is tried again.
+const FAILED_HALF_LIFE_MS: f64 = 3_000.0;
+/// The time in which a service time falls halfway to the usual one without results, in
+/// milliseconds.
+const SLOW_HALF_LIFE_MS: f64 = 3_000.0;
+/// How often waits are looked at for passed deadlines, in milliseconds.
+const LOOK_MS: u64 = 25;
+
+/// A request for the target.
+pub struct DoorCall {
+    pub request: CallRequest,
+    pub terms: CallTerms,
+    pub body: Bytes,
+    /// The id that the target's answer must bear.
+    pub request_id: std::sync::Arc<str>,
+}
+
+/// What became of a request.
+#[derive(Clone, Debug)]
+pub struct DoorAnswer {
+    pub response: CallResponse,
+    pub reached_target: bool,
+    pub retry_after_ms: u32,
+    pub body: Bytes,
+}
+
+struct Kept {
+    connection: Connection,
+    used_ms: u64,
+    idle_ms: u64,
+}
+
+struct State {
+    admission: Admission,
+    waiting: BTreeMap<u64, Sender<()>>,
+    next_ticket: u64,
+    kept: Vec<Kept>,
+    failed: f64,
+    failed_ms: u64,
+    served_ms: u64,
+    usual_ms: f64,
+}
+
+/// The requests at the target beside this daemon.
+pub struct Door {
+    state: RefCell<State>,
+}
+
+impl Default for Door {
+    fn default() -> Self {
+        let state = State {
+            admission: Admission::with_queue(QUEUED_PER_SLOT),
+            waiting: BTreeMap::new(),
+            next_ticket: 0,
+            kept: Vec::new(),
+            failed: 0.0,
+            failed_ms: 0,
+            served_ms: 0,
+            usual_ms: 0.0,
+        };
+        Self { state: RefCell::new(state) }
+    }
+}
+
+impl Door {
+    pub fn in_flight(&self) -> u16 {
+        self.state.borrow().admission.in_flight()
+    }
+
+    /// How busy the target is, and how it has been doing.
+    pub fn load(&self, now_ms: u64) -> TargetLoad {
+        let state = self.state.borrow();
+        let admission = &state.admission;
+        let slow_ms = (admission.service_ms() - state.usual_ms).max(0.0);
+        let idle_ms = now_ms.saturating_sub(state.served_ms) as f64;
+        let service_ms = state.usual_ms.min(admission.service_ms())
+            + slow_ms * 0.5_f64.powf(idle_ms / SLOW_HALF_LIFE_MS);
+        TargetLoad {
+            running: admission.running(),
+            waiting: admission.waiting(),
+            slots: admission.slots(),
+            service_ms: service_ms as f32,
+            failed_permille: (state.failed_share(now_ms) * 1_000.0) as u16,
+        }
+    }
+
+    /// Takes over what the target says of itself.
+    pub fn refresh(&self, mesh: &Mesh) {
+        let target = mesh.target.borrow();
+        let Some(last) = target.last() else { return };
+        let target_state = target.state(mesh.now_ms());
+        let mut state = self.state.borrow_mut();
+        state.admission.announce(target_state, last.slots);
+        if target_state == TargetState::Draining {
+            // Whoever waits is told at once, while there is time to go elsewhere.
+            state.waiting.clear();
+        }
+        if target_state != TargetState::Ready {
+            state.kept.clear();
+        }
+    }
+}
+
+impl State {
+    fn failed_share(&self, now_ms: u64) -> f64 {
+        let passed_ms = now_ms.saturating_sub(self.failed_ms) as f64;
+        self.failed * 0.5_f64.powf(passed_ms / FAILED_HALF_LIFE_MS)
+    }
+
+    fn note_result(&mut self, has_failed: bool, now_ms: u64) {
+        let share = self.failed_share(now_ms);
+        let result = if has_failed { 1.0 } else { 0.0 };
+        self.failed = share + (result - share) * FAILED_SHARE;
+        self.failed_ms = now_ms;
+    }
+
+    fn finish(&mut self, now_ms: u64, service_ms: Option<u64>) {
+        let service_ms = match service_ms {
+            Some(service_ms) => {
+                self.served_ms = now_ms;
+                let share = if self.usual_ms == 0.0 { 1.0 } else { 0.01 };
+                self.usual_ms += (service_ms as f64 - self.usual_ms) * share;
+                service_ms
+            }
+            None => self.admission.service_ms() as u64,
+        };
+        let (mut next, expired) = self.admission.finish(now_ms, service_ms);
+        self.end_waits(&expired);
+        while let Some(ticket) = next {
+            let taken = self.waiting.remove(&ticket).is_some_and(|wait| wait.try_send(()).is_ok());
+            if taken {
+                return;
+            }
+            (next, _) = self.admission.finish(now_ms, service_ms);
+        }
+    }
+
+    fn end_waits(&mut self, expired: &[u64]) {
+        for ticket in expired {
+            self.waiting.remove(ticket);
+        }
+    }
+}
+
+/// Cancels a request when it is dropped.
+pub struct Cancel {
+    _open: Sender<()>,
+}
+
+/// Hands a request to the door, and returns where its answer will come.
+pub fn submit(mesh: &Rc<Mesh>, call: DoorCall) -> (Receiver<DoorAnswer>, Cancel) {
+    let (open, cancelled) = async_channel::bounded::<()>(1);
+    let (reply, answer) = async_channel::bounded(1);
+    let task_mesh = mesh.clone();
+    mesh.spawn(async move {
+        let has_begun = Cell::new(false);
+        let is_idempotent = call.terms.is_idempotent;
+        let running = async { Some(run(&task_mesh, call, &has_begun).await) };
+        let cancelling = async {
+            cancelled.recv().await.ok();
+            if has_begun.get() {
+                if !is_idempotent {
+                    // What cannot be repeated is not stopped halfway.
+                    pending::<()>().await;
+                }
+                sleep_ms(CANCEL_MS).await;
+            }
+            None
+        };
+        if let Some(answered) = or(running, cancelling).await {
+            // The caller may have left meanwhile.
+            reply.try_send(answered).ok();
+        }
+    });
+    (answer, Cancel { _open: open })
+}
+
+/// Ends waits whose time is over, and tells peers when the target has gone silent.
+pub async fn watch(mesh: Rc<Mesh>) {
+    let mut reported = TargetState::Starting;
+    loop {
+        sleep_ms(LOOK_MS).await;
+        let now_ms = mesh.now_ms();
+        let mut state = mesh.door.state.borrow_mut();
+        let expired = state.admission.expire(now_ms);
+        state.end_waits(&expired);
+        state
+            .kept
+            .retain(|kept| !kept.connection.is_closed() && now_ms < kept.used_ms + kept.idle_ms);
+        drop(state);
+        let target_state = mesh.target_state();
+        if target_state != reported {
+            if target_state == TargetState::Lapsed {
+                log_event(Event::TargetLapsed, "");
+            }
+            reported = target_state;
+            mesh.door.refresh(&mesh);
+            mesh.links.report_now();
+        }
+    }
+}
+
+/// A place at the target, given back when it is dropped, however the request ends.
+struct Place<'a> {
+    mesh: &'a Mesh,
+    since_ms: u64,
+    /// Whether the time that the request took says something of the target.
+    is_measured: bool,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let now_ms = self.mesh.now_ms();
+        let service_ms = self.is_measured.then_some(now_ms - self.since_ms);
+        self.mesh.door.state.borrow_mut().finish(now_ms, service_ms);
+    }
+}
+
+/// A wait in the queue, taken out when it is dropped before its turn.
+struct Wait<'a> {
+    mesh: &'a Mesh,
+    ticket: u64,
+    is_over: bool,
+}
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            let mut state = self.mesh.door.state.borrow_mut();
+            state.admission.cancel(self.ticket);
+            state.waiting.remove(&self.ticket);
+        }
+    }
+}
+
+async fn run(mesh: &Rc<Mesh>, call: DoorCall, has_begun: &Cell<bool>) -> DoorAnswer {
+    let now_ms = mesh.now_ms();
+    let deadline_ms = now_ms + call.request.deadline_ms;
+    let is_current =
+        mesh.target.borrow().last().is_some_and(|last| last.id == call.request.instance);
+    if !is_current {
+        return refusal(mesh, ResultCode::WrongInstance, false);
+    }
+    let mut place = match enter(mesh, &call, now_ms, deadline_ms).await {
+        Ok(place) => place,
+        Err(code) => return refusal(mesh, code, false),
+    };
+    has_begun.set(true);
+    let answered = hand_over(mesh, &call, deadline_ms).await;
+    let now_ms = mesh.now_ms();
+    let has_failed = match &answered {
+        Ok(answer) => answer.status.is_server_error(),
+        Err((code, reached_target)) => *reached_target || *code == ResultCode::TargetUnreachable,
+    };
+    place.is_measured = matches!(&answered, Ok(answer) if !answer.status.is_server_error())
+        || matches!(&answered, Err((ResultCode::DeadlineAfterRun, _)));
+    drop(place);
+    mesh.door.state.borrow_mut().note_result(has_failed, now_ms);
+    match answered {
+        Ok(answer) => {
+            mesh.target.borrow_mut().answered(now_ms);
+            let response = CallResponse {
+                code: ResultCode::Answered,
+                http_status: answer.status.as_u16(),
+                headers: passed_headers(&answer.headers),
+                body_bytes: answer.body.len() as u64,
+                in_flight: mesh.door.in_flight(),
+            };
+            let body = answer.body;
+            DoorAnswer { response, reached_target: true, retry_after_ms: 0, body }
+        }
+        Err((code, reached_target)) => refusal(mesh, code, reached_target),
+    }
+}
+
+fn refusal(mesh: &Mesh, code: ResultCode, reached_target: bool) -> DoorAnswer {
+    let state = mesh.door.state.borrow();
+    DoorAnswer {
+        response: CallResponse::refusal(code, state.admission.in_flight()),
+        reached_target,
+        retry_after_ms: state.admission.backlog_ms() as u32,
+        body: Bytes::new(),
+    }
+}
+
+async fn enter<'a>(
+    mesh: &'a Rc<Mesh>,
+    call: &DoorCall,
+    now_ms: u64,
+    deadline_ms: u64,
+) -> Result<Place<'a>, ResultCode> {
+    let (ticket, turn) = {
+        let mut state = mesh.door.state.borrow_mut();
+        state.next_ticket += 1;
+        let ticket = state.next_ticket;
+        let goal_ms = (now_ms + call.terms.goal_ms).min(deadline_ms);
+        let arrival = Arrival { ticket, deadline_ms, goal_ms, rank: call.terms.rank };
+        match state.admission.arrive(now_ms, arrival) {
+            Admit::Run => return Ok(Place { mesh, since_ms: now_ms, is_measured: false }),
+            Admit::Refuse(code) => return Err(code),
+            Admit::Queue => {
+                let (sender, turn) = async_channel::bounded(1);
+                state.waiting.insert(ticket, sender);
+                (ticket, turn)
+            }
+        }
+    };
+    let mut wait = Wait { mesh, ticket, is_over: false };
+    if turn.recv().await.is_ok() {
+        wait.is_over = true;
+        return Ok(Place { mesh, since_ms: mesh.now_ms(), is_measured: false });
+    }
+    match mesh.target_state() {
+        TargetState::Ready => Err(ResultCode::DeadlineBeforeRun),
+        _ => Err(ResultCode::TargetDraining),
+    }
+}
+
+/// Hands a request to the target. An error says whether the request reached the target, and by its
+/// code whether it may have run.
+async fn hand_over(
+    mesh: &Rc<Mesh>,
+    call: &DoorCall,
+    deadline_ms: u64,
+) -> Result<WholeAnswer, (ResultCode, bool)> {
+    let left_ms = deadline_ms.saturating_sub(mesh.now_ms());
+    let mut request = target_request(call, left_ms).ok_or((ResultCode::RequestCut, false))?;
+    loop {
+        let mut connection = connect(mesh).await?;
+        let left_ms = deadline_ms.saturating_sub(mesh.now_ms());
+        let exchange = connection.exchange(request, BODY_BYTES_MAX);
+        let Some(exchanged) = within_ms(left_ms, exchange).await else {
+            return Err((ResultCode::DeadlineAfterRun, true));
+        };
+        let answer = match exchanged {
+            Ok(answer) => answer,
+            Err(ExchangeError::NotSent(unsent)) => {
+                request = *unsent;
+                continue;
+            }
+            Err(ExchangeError::Cut(_)) => return Err((ResultCode::AnswerCut, true)),
+            Err(_) => return Err((ResultCode::AnswerLost, true)),
+        };
+        return accept(mesh, call, connection, answer);
+    }
+}
+
+/// Judges an answer, and keeps the connection if it can carry another request.
+fn accept(
+    mesh: &Rc<Mesh>,
+    call: &DoorCall,
+    connection: Connection,
+    answer: WholeAnswer,
+) -> Result<WholeAnswer, (ResultCode, bool)> {
+    let said = headers::target_head(&answer.headers, &call.request_id);
+    if said.is_stray {
+        return Err((ResultCode::AnswerLost, true));
+    }
+    if answer.status == StatusCode::MISDIRECTED_REQUEST {
+        mesh.target.borrow_mut().unreachable();
+        return Err((ResultCode::WrongInstance, true));
+    }
+    if !connection.is_closed() {
+        let idle_ms = idle_ms(&answer.headers);
+        let kept = Kept { connection, used_ms: mesh.now_ms(), idle_ms };
+        mesh.door.state.borrow_mut().kept.push(kept);
+    }
+    if said.not_executed {
+        return Err((ResultCode::TargetFull, true));
+    }
+    if answer.status.is_success() && (!said.is_signed || said.is_encoded) {
+        return Err((ResultCode::AnswerCut, true));
+    }
+    Ok(answer)
+}
+
+async fn connect(mesh: &Rc<Mesh>) -> Result<Connection, (ResultCode, bool)> {
+    let now_ms = mesh.now_ms();
+    loop {
+        let Some(kept) = mesh.door.state.borrow_mut().kept.pop() else { break };
+        if kept.connection.is_usable() && now_ms < kept.used_ms + kept.idle_ms {
+            return Ok(kept.connection);
+        }
+    }
+    let addr = mesh.mesh_settings.borrow().target_addr;
+    let opened = Connection::open(&mesh.executor, addr, CONNECT_TIMEOUT_MS).await;
+    opened.map_err(|error| {
+        log_event(Event::TargetUnreachable, &format!("reason={error}"));
+        mesh.target.borrow_mut().unreachable();
+        mesh.door.refresh(mesh);
+        mesh.links.report_now();
+        (ResultCode::TargetUnreachable, false)
+    })
+}
+
+/// How long the target keeps an idle connection, with a margin.
+fn idle_ms(headers: &HeaderMap) -> u64 {
+    let header = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let seconds = header.and_then(|value| {
+        value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.parse::<u64>().ok())
+    });
+    seconds.map_or(IDLE_MS, |seconds| (seconds * 1_000).saturating_sub(IDLE_MARGIN_MS))
+}
+
+fn target_request(call: &DoorCall, left_ms: u64) -> Option<WholeRequest> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.request.method.parse::<Method>().ok()?;
+    *request.uri_mut() = call.request.path.parse::<Uri>().ok()?;
+    for Header { name, value } in &call.request.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        request.headers_mut().append(name, HeaderValue::from_str(value).ok()?);
+    }
+    headers::set_hand_over(request.headers_mut(), left_ms, &call.request.instance);
+    Some(request)
+}
+
+/// The headers that are passed on, in either direction.
+pub fn passed_headers(headers: &HeaderMap) -> Vec<Header> {
+    let mut passed = Vec::with_capacity(headers.len());
+    for (name, value) in headers {
+        if h1::is_hop_by_hop(name.as_str(), headers) {
+            continue;
+        }
+        match value.to_str() {
+            Ok(value) => passed.push(Header { name: name.as_str().into(), value: value.into() }),
+            Err(_) => log_event(Event::HeaderDropped, &format!("header={name} reason=not text")),
+        }
+    }
+    passed
+}
--- /dev/null
+++ b/crates/daemon/src/mesh/mod.rs
@@ -0,0 +1,252 @@
+//! A daemon on a platform that holds the configuration as one object; see `docs/MESH.md`.
+//!
+//! Everything runs on one thread: a daemon has a fraction of a core, and the tables need no locks.
+
+mod callers;
+mod config;
+mod control;
+mod directory;
+mod door;
+mod links;
+mod request;
+mod serve;
+
+use crate::error::DaemonError;
+use crate::logging::log_event;
+use crate::settings::{MeshSettings, Settings};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_net::TcpListener;
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use pomeloreach_core::budget::RetryBudget;
+use pomeloreach_core::endpoint::TargetState;
+use pomeloreach_core::event::Event;
+use pomeloreach_core::mesh::heartbeat::TargetTable;
+use pomeloreach_core::mesh::peers::Peers;
+use pomeloreach_core::mesh::shares::Shares;
+use pomeloreach_core::mesh::state::{ConfigState, DaemonRecord, DaemonState, TargetSummary};
+use pomeloreach_wire::clock::{Clock, sleep_ms};
+use rand_chacha::ChaCha8Rng;
+use rand_core::{OsRng, RngCore, SeedableRng, TryRngCore};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a stopping daemon goes on serving callers that have not been sent elsewhere yet, in
+/// milliseconds: two missed readiness checks, one second apart, and a margin.
+const FAREWELL_MS: u64 = 3_000;
+/// What is left of the grace period when a stopping daemon ends in any case, in milliseconds.
+const GRACE_MARGIN_MS: u64 = 400;
+/// How often a stopping daemon looks whether its requests have ended, in milliseconds.
+const DRAIN_LOOK_MS: u64 = 20;
+/// How often the settings file is looked at for changes that come without a signal, in
+/// milliseconds.
+const SETTINGS_LOOK_MS: u64 = 5_000;
+/// Start ids stay below 2^53, so that every JSON implementation keeps them whole.
+const START_ID_SHIFT: u32 = 11;
+
+/// Everything that the tasks of a daemon share.
+pub struct Mesh {
+    pub settings: Settings,
+    pub mesh_settings: RefCell<Rc<MeshSettings>>,
+    pub clock: Clock,
+    pub executor: Rc<LocalExecutor<'static>>,
+    pub own: DaemonRecord,
+    pub peers: RefCell<Peers>,
+    pub links: links::Links,
+    pub target: RefCell<TargetTable>,
+    pub door: door::Door,
+    pub config: config::Holder,
+    pub shares: RefCell<Shares>,
+    pub budgets: RefCell<BTreeMap<Arc<str>, RetryBudget>>,
+    /// The smoothed time of an answer by route, in milliseconds.
+    pub answer_ms: RefCell<BTreeMap<Arc<str>, f64>>,
+    rng: RefCell<ChaCha8Rng>,
+    pub leaving: Cell<bool>,
+    /// Requests of callers that are not answered yet.
+    pub in_flight: Cell<u32>,
+}
+
+impl Mesh {
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    pub fn spawn(&self, future: impl Future<Output = ()> + 'static) {
+        self.executor.spawn(future).detach();
+    }
+
+    /// A number from 0 to 1.
+    pub fn random(&self) -> f64 {
+        f64::from(self.rng.borrow_mut().next_u32()) / f64::from(u32::MAX)
+    }
+
+    /// A time spread evenly from `ms` to twice that.
+    pub fn jittered(&self, ms: u64) -> u64 {
+        ms + (ms as f64 * self.random()) as u64
+    }
+
+    pub fn target_state(&self) -> TargetState {
+        self.target.borrow().state(self.now_ms())
+    }
+
+    /// The target beside this daemon, as peers are told of it.
+    pub fn target_summary(&self) -> Option<TargetSummary> {
+        let target = self.target.borrow();
+        let last = target.last()?;
+        Some(TargetSummary {
+            id: last.id.clone(),
+            service: last.service.clone(),
+            state: target.state(self.now_ms()),
+            load: self.door.load(self.now_ms()),
+        })
+    }
+
+    pub fn state(&self) -> DaemonState {
+        DaemonState {
+            leaving: self.leaving.get(),
+            target: self.target_summary(),
+            config: self.config_state(),
+        }
+    }
+
+    pub fn config_state(&self) -> ConfigState {
+        self.config.state(self.now_ms())
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.leaving.get() && self.config.routes().is_some()
+    }
+}
+
+/// Runs a daemon until it is told to stop.
+pub fn run(path: PathBuf, settings: Settings, mesh: MeshSettings) -> Result<(), DaemonError> {
+    let executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.run(serve(path, settings, mesh, executor.clone())))
+}
+
+async fn serve(
+    path: PathBuf,
+    settings: Settings,
+    mesh_settings: MeshSettings,
+    executor: Rc<LocalExecutor<'static>>,
+) -> Result<(), DaemonError> {
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(DaemonError::Signals)?;
+    let link_listener = listen(settings.control_addr).await?;
+    let caller_listener = listen(settings.caller_addr).await?;
+    let operator_listener = listen(settings.operator_addr).await?;
+    let ready_listener = listen(mesh_settings.ready_addr).await?;
+    let seed = OsRng.try_next_u64().map_err(|error| DaemonError::Random(error.to_string()))?;
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let own = DaemonRecord {
+        name: settings.name.clone(),
+        start_id: rng.next_u64() >> START_ID_SHIFT,
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+        link_addr: settings.control_addr,
+    };
+    let clock = Clock::default();
+    let mesh = Rc::new(Mesh {
+        clock,
+        executor,
+        peers: RefCell::new(Peers::new(own.clone())),
+        links: links::Links::default(),
+        target: RefCell::new(TargetTable::new(mesh_settings.heartbeat_ms)),
+        door: door::Door::default(),
+        config: config::Holder::default(),
+        shares: RefCell::new(Shares::default()),
+        budgets: RefCell::new(BTreeMap::new()),
+        answer_ms: RefCell::new(BTreeMap::new()),
+        rng: RefCell::new(rng),
+        leaving: Cell::new(false),
+        in_flight: Cell::new(0),
+        own,
+        settings,
+        mesh_settings: RefCell::new(Rc::new(mesh_settings)),
+    });
+    mesh.spawn(links::accept(mesh.clone(), link_listener));
+    mesh.spawn(links::dial(mesh.clone()));
+    mesh.spawn(links::report(mesh.clone()));
+    mesh.spawn(directory::keep(mesh.clone()));
+    mesh.spawn(config::read(mesh.clone()));
+    mesh.spawn(door::watch(mesh.clone()));
+    mesh.spawn(control::accept(mesh.clone(), operator_listener));
+    mesh.spawn(control::accept(mesh.clone(), ready_listener));
+    mesh.spawn(callers::accept(mesh.clone(), caller_listener));
+    mesh.spawn(watch_settings(mesh.clone(), path.clone()));
+    log_event(
+        Event::DaemonStarted,
+        &format!("instance={} start={}", mesh.own.name, mesh.own.start_id),
+    );
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => reload(&mesh, &path),
+            Ok(_) => break,
+            Err(error) => return Err(DaemonError::Signals(error)),
+        }
+    }
+    drain(&mesh).await;
+    Ok(())
+}
+
+async fn listen(addr: SocketAddr) -> Result<TcpListener, DaemonError> {
+    TcpListener::bind(addr).await.map_err(|source| DaemonError::Listen { addr, source })
+}
+
+/// Takes over the settings that can change while the daemon runs. A file that cannot be used is
+/// logged and leaves the settings as they were.
+fn reload(mesh: &Rc<Mesh>, path: &PathBuf) {
+    let read = Settings::read(path);
+    let changed = match read {
+        Ok(Settings { mesh: Some(changed), .. }) => changed,
+        Ok(_) => return log_event(Event::SettingsRefused, "reason=the section 'mesh' is missing"),
+        Err(error) => return log_event(Event::SettingsRefused, &format!("reason={error}")),
+    };
+    if changed != **mesh.mesh_settings.borrow() {
+        log_event(Event::SettingsChanged, &format!("{changed:?}"));
+        *mesh.mesh_settings.borrow_mut() = Rc::new(changed);
+    }
+}
+
+async fn watch_settings(mesh: Rc<Mesh>, path: PathBuf) {
+    let mut read = std::fs::read(&path).ok();
+    loop {
+        Timer::after(Duration::from_millis(SETTINGS_LOOK_MS)).await;
+        let now = std::fs::read(&path).ok();
+        if now != read {
+            read = now;
+            reload(&mesh, &path);
+        }
+    }
+}
+
+/// Tells everybody, serves the callers that are not sent elsewhere yet, and lets what is in flight
+/// end.
+async fn drain(mesh: &Rc<Mesh>) {
+    mesh.leaving.set(true);
+    mesh.links.report_now();
+    log_event(Event::DaemonDraining, &format!("in_flight={}", mesh.in_flight.get()));
+    let began_ms = mesh.now_ms();
+    let grace_ms = mesh.mesh_settings.borrow().grace_ms;
+    let end_ms = began_ms + grace_ms.saturating_sub(GRACE_MARGIN_MS);
+    if mesh.target_state() == TargetState::Draining {
+        directory::withdraw(mesh).await;
+    }
+    loop {
+        let now_ms = mesh.now_ms();
+        let is_idle = mesh.in_flight.get() == 0 && mesh.door.in_flight() == 0;
+        if now_ms >= end_ms || (is_idle && now_ms >= began_ms + FAREWELL_MS) {
+            break;
+        }
+        sleep_ms(DRAIN_LOOK_MS).await;
+    }
+    let (in_flight, at_target) = (mesh.in_flight.get(), mesh.door.in_flight());
+    log_event(Event::DaemonStopped, &format!("in_flight={in_flight} at_target={at_target}"));
+}
--- /dev/null
+++ b/crates/daemon/src/mesh/request.rs
@@ -0,0 +1,454 @@
+//! The way of one request of a caller: its route, its attempts, its answer.
+
+use super::door::{self, DoorCall, passed_headers};
+use super::{Mesh, links};
+use crate::logging::log_event;
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::header::{HOST, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Response, StatusCode};
+use pomeloreach_core::budget::{BudgetLimits, RetryBudget};
+use pomeloreach_core::call::{CallRequest, CallResponse};
+use pomeloreach_core::code::{Outcome, ResultCode};
+use pomeloreach_core::event::Event;
+use pomeloreach_core::matching::MatchedRoute;
+use pomeloreach_core::mesh::message::{Call, CallTerms};
+use pomeloreach_core::mesh::placer::{self, Ask, Choice};
+use pomeloreach_platform::headers;
+use pomeloreach_wire::clock::within_ms;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// The share of first attempts that may be followed by another, in percent. All daemons together
+/// must stay below the platform's ratio, and repeats of a request repeat the calls that it makes.
+const RETRY_PERCENT: u8 = 12;
+/// The part of the platform's slack for retries that the daemons spend without traffic.
+const SLACK_SHARE: f64 = 0.3;
+/// Doors that are asked for one request, also those that refuse it.
+const DOORS_MAX: usize = 4;
+/// An attempt that takes this many times the usual time of its route has stalled.
+const STALLED_TIMES: f64 = 4.0;
+/// The share of the time left that an attempt has in any case.
+const STALLED_SHARE_MIN: f64 = 0.3;
+/// The share of the time left that an attempt has while no usual time is known.
+const STALLED_SHARE_UNKNOWN: f64 = 0.5;
+/// The usual times that a further attempt must have left.
+const RETRY_TIMES: f64 = 1.5;
+/// The weight of a new answer in the usual time of its route.
+const ANSWER_SHARE: f64 = 0.1;
+/// The shortest time after which a refused caller is asked to come back, in milliseconds.
+const RETRY_AFTER_MS_MIN: u64 = 40;
+/// The time after which a caller is asked to come back when no target is known, in milliseconds.
+const RETRY_AFTER_UNKNOWN_MS: u64 = 300;
+
+/// One request with what its attempts share.
+struct Task<'a> {
+    mesh: &'a Rc<Mesh>,
+    route: &'a MatchedRoute,
+    service: Arc<str>,
+    attempts_max: usize,
+    request_id: Arc<str>,
+    request: CallRequest,
+    body: Bytes,
+    arrived_ms: u64,
+    goal_ms: u64,
+    deadline_ms: u64,
+    tried: BTreeSet<Arc<str>>,
+    /// Targets that the request reached.
+    reached: usize,
+    may_have_run: Option<ResultCode>,
+    /// A target's own failure, which is passed on if nothing better comes.
+    failure: Option<Reply>,
+    retry_after_ms: u64,
+}
+
+/// A target's answer.
+struct Reply {
+    response: CallResponse,
+    body: Bytes,
+}
+
+/// What became of one attempt.
+struct Attempt {
+    response: CallResponse,
+    body: Bytes,
+    reached_target: bool,
+    retry_after_ms: u64,
+}
+
+impl Attempt {
+    fn failed(code: ResultCode, reached_target: bool) -> Self {
+        let response = CallResponse::refusal(code, 0);
+        Self { response, body: Bytes::new(), reached_target, retry_after_ms: 0 }
+    }
+}
+
+/// Serves one request from its arrival to its answer.
+pub async fn serve(
+    mesh: &Rc<Mesh>,
+    head: Parts,
+    body: Bytes,
+    arrived_ms: u64,
+) -> Response<Full<Bytes>> {
+    let said = headers::caller_head(&head.headers);
+    let Some(routes) = mesh.config.routes() else {
+        return refuse(&said.request_id, ResultCode::DaemonNotReady, RETRY_AFTER_UNKNOWN_MS);
+    };
+    let path = head.uri.path();
+    let Some(route) = routes.find(&host(&head), path, head.method.as_str()) else {
+        return refuse(&said.request_id, ResultCode::NoRoute, 0);
+    };
+    let part = mesh.shares.borrow_mut().next(route).clone();
+    let allowed_ms = u64::from(route.route.deadline_ms);
+    let deadline_ms = arrived_ms + said.deadline_ms.unwrap_or(allowed_ms).min(allowed_ms);
+    let goal_ms = route.route.target_latency_ms.map_or(allowed_ms, u64::from);
+    let mut task = Task {
+        mesh,
+        route,
+        service: part.pool.service,
+        attempts_max: route.route.attempts_max.unwrap_or(part.pool.attempts_max).into(),
+        request: call_request(mesh, &head, &body),
+        request_id: said.request_id,
+        body,
+        arrived_ms,
+        goal_ms: (arrived_ms + goal_ms).min(deadline_ms),
+        deadline_ms,
+        tried: BTreeSet::new(),
+        reached: 0,
+        may_have_run: None,
+        failure: None,
+        retry_after_ms: 0,
+    };
+    task.earn_retries();
+    let code = task.run().await;
+    task.respond(code)
+}
+
+fn host(head: &Parts) -> String {
+    let header = head.headers.get(HOST).and_then(|value| value.to_str().ok());
+    let host = header.or_else(|| head.uri.host()).unwrap_or_default();
+    host.split(':').next().unwrap_or_default().to_ascii_lowercase()
+}
+
+fn call_request(mesh: &Mesh, head: &Parts, body: &Bytes) -> CallRequest {
+    let mut forwarded = head.headers.clone();
+    headers::set_caller_service(&mut forwarded, &mesh.mesh_settings.borrow().service);
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    CallRequest {
+        instance: "".into(),
+        deadline_ms: 0,
+        method: head.method.as_str().into(),
+        path: path.into(),
+        headers: passed_headers(&forwarded),
+        body_bytes: body.len() as u64,
+    }
+}
+
+impl Task<'_> {
+    /// Makes attempts until one answers or no other can.
+    async fn run(&mut self) -> Result<Reply, ResultCode> {
+        loop {
+            let now_ms = self.mesh.now_ms();
+            if now_ms >= self.deadline_ms {
+                return self.end(ResultCode::DeadlineBeforeRun);
+            }
+            let choice = self.choose(now_ms);
+            let (name, target_id) = match choice {
+                Choice::Own => (None, self.own_target_id()),
+                Choice::Peer { name, target_id } => (Some(name), target_id),
+                Choice::Full { retry_after_ms } => {
+                    self.retry_after_ms = self.retry_after_ms.max(retry_after_ms);
+                    return self.end(ResultCode::TargetFull);
+                }
+                Choice::NoTarget => {
+                    self.retry_after_ms = self.retry_after_ms.max(RETRY_AFTER_UNKNOWN_MS);
+                    return self.end(ResultCode::NoTarget);
+                }
+            };
+            if self.reached > 0 && !self.spend_retry(now_ms) {
+                return self.end(ResultCode::RetryBudgetSpent);
+            }
+            self.tried.insert(name.clone().unwrap_or_else(|| self.mesh.own.name.clone()));
+            let attempt = self.attempt(name.as_ref(), target_id, now_ms).await;
+            if let Some(ended) = self.take(attempt) {
+                return ended;
+            }
+        }
+    }
+
+    fn own_target_id(&self) -> Arc<str> {
+        let target = self.mesh.target.borrow();
+        target.last().map(|last| last.id.clone()).unwrap_or_default()
+    }
+
+    fn choose(&self, now_ms: u64) -> Choice {
+        let ask = Ask {
+            service: &self.service,
+            tried: &self.tried,
+            is_idempotent: self.route.route.idempotent,
+            goal_ms: self.goal_ms.saturating_sub(now_ms),
+            left_ms: self.deadline_ms - now_ms,
+            random: self.mesh.random(),
+        };
+        let own = self.mesh.target_summary();
+        placer::choose(&self.mesh.peers.borrow(), own.as_ref(), &ask, now_ms)
+    }
+
+    /// How long an attempt may take before another target is asked.
+    fn patience_ms(&self, left_ms: u64) -> u64 {
+        if !self.route.route.idempotent || self.reached + 1 >= self.attempts_max {
+            return left_ms;
+        }
+        let left = left_ms as f64;
+        let usual_ms = self.mesh.answer_ms.borrow().get(&self.route.name).copied();
+        let patience_ms = match usual_ms {
+            None => left * STALLED_SHARE_UNKNOWN,
+            Some(usual_ms) => {
+                let stalled_ms = (usual_ms * STALLED_TIMES).max(left * STALLED_SHARE_MIN);
+                if left - stalled_ms < usual_ms * RETRY_TIMES { left } else { stalled_ms }
+            }
+        };
+        (patience_ms as u64).min(left_ms)
+    }
+
+    async fn attempt(&self, peer: Option<&Arc<str>>, target_id: Arc<str>, now_ms: u64) -> Attempt {
+        let left_ms = self.deadline_ms - now_ms;
+        let patience_ms = self.patience_ms(left_ms);
+        let mut request = self.request.clone();
+        request.instance = target_id;
+        request.deadline_ms = left_ms;
+        let terms = CallTerms {
+            goal_ms: self.goal_ms.saturating_sub(now_ms),
+            rank: self.route.route.priority,
+            is_idempotent: self.route.route.idempotent,
+        };
+        let attempting = async {
+            match peer {
+                None => self.attempt_here(request, terms).await,
+                Some(peer) => self.attempt_there(peer, request, terms).await,
+            }
+        };
+        let attempted = within_ms(patience_ms, attempting).await;
+        attempted.unwrap_or_else(|| Attempt::failed(ResultCode::DeadlineAfterRun, true))
+    }
+
+    async fn attempt_here(&self, request: CallRequest, terms: CallTerms) -> Attempt {
+        let body = self.body.clone();
+        let request_id = self.request_id.clone();
+        let call = DoorCall { request, terms, body, request_id };
+        let (answer, _cancel_on_drop) = door::submit(self.mesh, call);
+        match answer.recv().await {
+            Ok(answer) => Attempt {
+                response: answer.response,
+                body: answer.body,
+                reached_target: answer.reached_target,
+                retry_after_ms: answer.retry_after_ms.into(),
+            },
+            Err(_) => Attempt::failed(ResultCode::AnswerLost, true),
+        }
+    }
+
+    async fn attempt_there(
+        &self,
+        peer: &Arc<str>,
+        request: CallRequest,
+        terms: CallTerms,
+    ) -> Attempt {
+        let call = Call { call: 0, request, terms, body: self.body.clone() };
+        let Some(sent) = links::call(self.mesh, peer, call) else {
+            return Attempt::failed(ResultCode::TargetUnreachable, false);
+        };
+        let mut outstanding = Outstanding::new(self.mesh, peer);
+        let Some(answer) = sent.answer().await else {
+            return Attempt::failed(ResultCode::AnswerLost, true);
+        };
+        outstanding.is_lost = false;
+        let code = answer.response.code;
+        let is_gone = matches!(
+            code,
+            ResultCode::TargetDraining | ResultCode::WrongInstance | ResultCode::TargetUnreachable
+        );
+        if is_gone {
+            self.mesh.peers.borrow_mut().target_refused(peer);
+        }
+        Attempt {
+            response: answer.response,
+            body: answer.body,
+            reached_target: answer.reached_target,
+            retry_after_ms: answer.retry_after_ms.into(),
+        }
+    }
+
+    /// Takes in what became of an attempt. Returns how the request ends, if it ends.
+    fn take(&mut self, attempt: Attempt) -> Option<Result<Reply, ResultCode>> {
+        let code = attempt.response.code;
+        let is_idempotent = self.route.route.idempotent;
+        self.reached += usize::from(attempt.reached_target);
+        self.retry_after_ms = self.retry_after_ms.max(attempt.retry_after_ms);
+        let may_repeat = is_idempotent && self.reached < self.attempts_max;
+        match code.outcome() {
+            Outcome::Answered => {
+                let status = attempt.response.http_status;
+                let reply = Reply { response: attempt.response, body: attempt.body };
+                if status < 500 || !may_repeat {
+                    return Some(Ok(reply));
+                }
+                self.may_have_run = Some(ResultCode::AnswerLost);
+                self.failure = Some(reply);
+            }
+            Outcome::Unknown => {
+                self.may_have_run = Some(code);
+                if !may_repeat {
+                    return Some(self.end(code));
+                }
+            }
+            Outcome::NotRun => {
+                if self.tried.len() >= DOORS_MAX || self.reached >= self.attempts_max {
+                    return Some(self.end(code));
+                }
+            }
+        }
+        self.log_attempt(code);
+        None
+    }
+
+    fn log_attempt(&self, code: ResultCode) {
+        let tried = self.tried.len();
+        let detail = format!(
+            "request={} route={} code={code} tried={tried} reached={} age_ms={}",
+            self.request_id,
+            self.route.name,
+            self.reached,
+            self.mesh.now_ms() - self.arrived_ms
+        );
+        log_event(Event::AttemptRepeated, &detail);
+    }
+
+    /// Ends the request without a new answer: with a target's own failure if there is one, and
+    /// with "not run" only if that is sure.
+    fn end(&mut self, code: ResultCode) -> Result<Reply, ResultCode> {
+        if let Some(failure) = self.failure.take() {
+            return Ok(failure);
+        }
+        let is_over = self.mesh.now_ms() >= self.deadline_ms;
+        match (self.may_have_run, code.outcome()) {
+            (Some(_), _) if is_over => Err(ResultCode::DeadlineAfterRun),
+            (Some(earlier), Outcome::NotRun) => Err(earlier),
+            _ => Err(code),
+        }
+    }
+
+    fn budget_limits(&self) -> BudgetLimits {
+        let settings = self.mesh.mesh_settings.borrow();
+        let daemons = self.mesh.peers.borrow().all().count() + 1;
+        let share = settings.retry_slack * SLACK_SHARE / daemons as f64;
+        let window_s = settings.retry_window_ms as f64 / 1_000.0;
+        BudgetLimits {
+            idle_tokens: share.max(1.0),
+            idle_tokens_per_s: share / window_s,
+            tokens_max: share.max(1.0) * 2.0,
+        }
+    }
+
+    fn earn_retries(&self) {
+        let mut budgets = self.mesh.budgets.borrow_mut();
+        let (limits, now_ms) = (self.budget_limits(), self.mesh.now_ms());
+        let budget = budgets
+            .entry(self.service.clone())
+            .or_insert_with(|| RetryBudget::with_limits(limits, now_ms));
+        budget.set_limits(limits);
+        budget.earn(RETRY_PERCENT);
+    }
+
+    fn spend_retry(&self, now_ms: u64) -> bool {
+        let mut budgets = self.mesh.budgets.borrow_mut();
+        budgets.get_mut(&self.service).is_some_and(|budget| budget.spend(now_ms))
+    }
+
+    fn respond(&mut self, ended: Result<Reply, ResultCode>) -> Response<Full<Bytes>> {
+        let took_ms = self.mesh.now_ms() - self.arrived_ms;
+        match ended {
+            Ok(reply) => {
+                if reply.response.http_status < 500 {
+                    self.note_time(took_ms);
+                }
+                pass_on(reply)
+            }
+            Err(code) => {
+                let left_ms = self.deadline_ms.saturating_sub(self.mesh.now_ms());
+                let detail = format!(
+                    "request={} route={} service={} code={code} tried={} reached={} took_ms={took_ms} \
+                     left_ms={left_ms} retry_after_ms={}",
+                    self.request_id,
+                    self.route.name,
+                    self.service,
+                    self.tried.len(),
+                    self.reached,
+                    self.retry_after_ms
+                );
+                log_event(Event::RequestFailed, &detail);
+                let hint_ms = self.mesh.jittered(self.retry_after_ms.max(RETRY_AFTER_MS_MIN));
+                refuse(&self.request_id, code, hint_ms)
+            }
+        }
+    }
+
+    fn note_time(&self, took_ms: u64) {
+        let mut times = self.mesh.answer_ms.borrow_mut();
+        let usual_ms = times.entry(self.route.name.clone()).or_insert(took_ms as f64);
+        *usual_ms += (took_ms as f64 - *usual_ms) * ANSWER_SHARE;
+    }
+}
+
+/// Counts a call at a peer until it ends, however it ends.
+struct Outstanding<'a> {
+    mesh: &'a Mesh,
+    peer: &'a str,
+    is_lost: bool,
+}
+
+impl<'a> Outstanding<'a> {
+    fn new(mesh: &'a Mesh, peer: &'a str) -> Self {
+        mesh.peers.borrow_mut().call_began(peer);
+        Self { mesh, peer, is_lost: true }
+    }
+}
+
+impl Drop for Outstanding<'_> {
+    fn drop(&mut self) {
+        let now_ms = self.mesh.now_ms();
+        self.mesh.peers.borrow_mut().call_ended(self.peer, self.is_lost, now_ms);
+    }
+}
+
+fn pass_on(reply: Reply) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(reply.body));
+    let status = StatusCode::from_u16(reply.response.http_status);
+    *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+    for header in &reply.response.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_str(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
+
+/// The system's own answer to a request that has no answer of a target.
+fn refuse(request_id: &str, code: ResultCode, retry_after_ms: u64) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    let status = match code {
+        // A deadline that passed before the hand-over leaves the request not run.
+        ResultCode::DeadlineBeforeRun => 503,
+        other => other.http_status(),
+    };
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    headers::set_request_id(response.headers_mut(), request_id);
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        headers::set_retry_after(response.headers_mut(), retry_after_ms);
+    }
+    response
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,6 +14,8 @@
 const CHILDREN_MAX: u16 = 2_000;
 /// The most threads that run tasks.
 const WORKER_THREADS_MAX: u16 = 64;
+/// The longest time that is given in seconds.
+const SECONDS_MAX: f64 = 86_400.0;
 /// The longest drain, in milliseconds.
 const DRAIN_MS_MAX: u64 = 3_600_000;
 
@@ -50,7 +52,12 @@
     /// Daemons to ask when the platform's store is away.
     #[serde(default)]
     pub seed_addrs: Vec<SocketAddr>,
-    pub tls: Tls,
+    /// The fleet's keys; a daemon on a platform that keeps the configuration needs none.
+    #[serde(default)]
+    pub tls: Option<Tls>,
+    /// What a daemon is told on a platform that keeps the configuration; see `docs/MESH.md`.
+    #[serde(default)]
+    pub mesh: Option<MeshSettings>,
     /// Where metrics go, as statsd over UDP; none are sent without it.
     #[serde(default)]
     pub metrics_addr: Option<SocketAddr>,
@@ -67,6 +74,29 @@
     pub drain_max_ms: u64,
 }
 
+/// What a daemon is told on a platform that keeps the configuration. All bounds are the platform's.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MeshSettings {
+    /// Where the platform asks whether callers may be sent here.
+    pub ready_addr: SocketAddr,
+    /// The service of the target beside this daemon.
+    pub service: Arc<str>,
+    /// Where that target takes requests.
+    pub target_addr: SocketAddr,
+    /// How often the target sends a heartbeat, in milliseconds.
+    #[serde(rename = "heartbeat_s", deserialize_with = "seconds")]
+    pub heartbeat_ms: u64,
+    /// How long a daemon that was told to stop may take, in milliseconds.
+    #[serde(rename = "grace_s", deserialize_with = "seconds")]
+    pub grace_ms: u64,
+    /// The span over which retries are counted, in milliseconds.
+    #[serde(rename = "retry_window_s", deserialize_with = "seconds")]
+    pub retry_window_ms: u64,
+    /// Retries that all daemons together may make in that span beyond their share of requests.
+    pub retry_slack: f64,
+}
+
 /// The keys of the fleet.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -81,10 +111,13 @@
     pub fn read(path: &Path) -> Result<Self, DaemonError> {
         let text = std::fs::read_to_string(path)
             .map_err(|source| DaemonError::Read { path: path.to_path_buf(), source })?;
-        serde_saphyr::from_str(&text).map_err(|error| DaemonError::Settings {
-            path: path.to_path_buf(),
-            reason: error.to_string(),
-        })
+        let settings: Self = serde_saphyr::from_str(&text).map_err(|error| {
+            DaemonError::Settings { path: path.to_path_buf(), reason: error.to_string() }
+        })?;
+        match (&settings.mesh, &settings.tls) {
+            (None, None) => Err(DaemonError::TlsMissing),
+            _ => Ok(settings),
+        }
     }
 }
 
@@ -108,6 +141,16 @@
     30_000
 }
 
+/// A time that a platform gives in seconds with fractions, in milliseconds.
+fn seconds<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    let seconds = f64::deserialize(deserializer)?;
+    let ms = (seconds * 1_000.0).round();
+    if (0.0..=SECONDS_MAX * 1_000.0).contains(&ms) {
+        return Ok(ms as u64);
+    }
+    Err(D::Error::custom(format!("{seconds} is outside 0 to {SECONDS_MAX} seconds")))
+}
+
 fn name<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Arc<str>, D::Error> {
     let text = String::deserialize(deserializer)?;
     if is_name(&text) {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -141,7 +141,8 @@
 
 async fn serve(settings: Settings, executor: Arc<Executor<'static>>) -> Result<(), DaemonError> {
     let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(DaemonError::Signals)?;
-    let endpoint = crate::quic::bind(settings.control_addr, &settings.tls, &executor)?;
+    let tls = settings.tls.as_ref().ok_or(DaemonError::TlsMissing)?;
+    let endpoint = crate::quic::bind(settings.control_addr, tls, &executor)?;
     let callers = listen(settings.caller_addr).await?;
     let operators = listen(settings.operator_addr).await?;
     let (inputs, received) = async_channel::bounded(INPUTS_MAX);
--- a/crates/standins/tests/request_runs.rs
+++ b/crates/standins/tests/request_runs.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use pomeloreach_core::admission::{Admission, Admit};
+use pomeloreach_core::admission::{Admission, Admit, Arrival};
 use pomeloreach_core::attempt::{Attempts, Next};
 use pomeloreach_core::balancer::{Balancer, Evidenced};
 use pomeloreach_core::budget::RetryBudget;
@@ -176,7 +176,9 @@
         if self.health[index] == Health::Dead {
             return ResultCode::TargetUnreachable;
         }
-        let arrived = self.doors[index].arrive(id, self.now_ms, self.now_ms + timeout_ms);
+        let deadline_ms = self.now_ms + timeout_ms;
+        let arrival = Arrival { ticket: id, deadline_ms, goal_ms: deadline_ms, rank: 0 };
+        let arrived = self.doors[index].arrive(self.now_ms, arrival);
         match arrived {
             Admit::Run => {}
             Admit::Refuse(code) => return code,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod clock;
 pub mod frame;
+pub mod h1;
 pub mod http;
 pub mod platform;
