--- a/crates/core/src/mesh/peers.rs
+++ b/crates/core/src/mesh/peers.rs
@@ -196,6 +196,15 @@
         }
     }
 
+    /// Counts a stalled call as lost if the peer has said nothing since it began.
+    pub fn suspect(&mut self, name: &str, began_ms: u64, now_ms: u64) {
+        if let Some(peer) = self.peers.get_mut(name)
+            && peer.heard_ms < began_ms
+        {
+            peer.failed_ms = Some(now_ms);
+        }
+    }
+
     pub fn call_began(&mut self, name: &str) {
         if let Some(peer) = self.peers.get_mut(name) {
             peer.outstanding = peer.outstanding.saturating_add(1);
--- a/crates/core/src/mesh/placer.rs
+++ b/crates/core/src/mesh/placer.rs
@@ -14,9 +14,9 @@
 /// What sending a request to another VM of the same zone counts as, in milliseconds.
 const SAME_ZONE_MS: f64 = 4.0;
 /// The round trip to another zone of the region with the price of its bytes, in milliseconds.
-const SAME_REGION_MS: f64 = 30.0;
+const SAME_REGION_MS: f64 = 45.0;
 /// The round trip to another region with the price of its bytes, in milliseconds.
-const OTHER_REGION_MS: f64 = 140.0;
+const OTHER_REGION_MS: f64 = 200.0;
 /// The part of [`SAME_REGION_MS`] and [`OTHER_REGION_MS`] that is time, in milliseconds.
 const SAME_REGION_RTT_MS: f64 = 4.0;
 const OTHER_REGION_RTT_MS: f64 = 65.0;
--- a/crates/daemon/src/mesh/callers.rs
+++ b/crates/daemon/src/mesh/callers.rs
@@ -1,32 +1,61 @@
 //! The port where callers and the target beside this daemon send their requests.
 
-use super::request;
-use super::serve::{self, Answered, NoAnswer};
-use super::{Mesh, sleep_ms};
+use super::{Mesh, request, sleep_ms};
 use async_net::TcpListener;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
-use hyper::header::CONNECTION;
-use hyper::{Request, Response, StatusCode};
+use bytes::Bytes;
+use http::{Request, Response};
+use pomeloreach_wire::h1::server::{self, ServerLimits, Service};
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
 
 /// The pause after a failed accept, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 50;
 
-/// Accepts callers.
-pub async fn accept(mesh: Rc<Mesh>, listener: TcpListener) {
+/// Accepts connections for a service, as long as the daemon runs.
+pub async fn accept<S: Service + Clone + 'static>(
+    mesh: Rc<Mesh>,
+    listener: TcpListener,
+    service: S,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep_ms(ACCEPT_PAUSE_MS).await;
             continue;
         };
-        let idle_ms = u64::from(mesh.config.limits().idle_timeout_ms);
-        let task_mesh = mesh.clone();
-        mesh.spawn(async move {
-            let handler_mesh = task_mesh.clone();
-            let handle = move |request| handle(handler_mesh.clone(), request);
-            serve::connection(task_mesh, stream, idle_ms, handle).await;
-        });
+        let (executor, service) = (mesh.executor.clone(), service.clone());
+        mesh.spawn(async move { server::serve(&executor, stream, &service).await });
+    }
+}
+
+/// Answers callers.
+#[derive(Clone)]
+pub struct Callers(pub Rc<Mesh>);
+
+impl Service for Callers {
+    type Answering = Pin<Box<dyn Future<Output = Response<Bytes>>>>;
+
+    fn answer(&self, request: Request<Bytes>) -> Self::Answering {
+        let counted = Counted::new(&self.0);
+        let arrived_ms = self.0.now_ms();
+        Box::pin(async move {
+            let (head, body) = request.into_parts();
+            request::serve(&counted.0, head, body, arrived_ms).await
+        })
+    }
+
+    fn limits(&self) -> ServerLimits {
+        let limits = self.0.config.limits();
+        ServerLimits {
+            header_bytes_max: limits.header_bytes_max as usize,
+            body_bytes_max: limits.body_bytes_max as usize,
+            header_timeout_ms: limits.header_timeout_ms.into(),
+            idle_timeout_ms: limits.idle_timeout_ms.into(),
+        }
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.0.leaving.get()
     }
 }
 
@@ -45,27 +74,3 @@
         self.0.in_flight.set(self.0.in_flight.get() - 1);
     }
 }
-
-async fn handle(mesh: Rc<Mesh>, request: Request<Incoming>) -> Answered {
-    let _counted = Counted::new(&mesh);
-    let arrived_ms = mesh.now_ms();
-    let body_bytes_max = mesh.config.limits().body_bytes_max as usize;
-    let (head, body) = request.into_parts();
-    let declared = body.size_hint().lower();
-    if declared > body_bytes_max as u64 {
-        return Ok(too_large());
-    }
-    let body = match Limited::new(body, body_bytes_max).collect().await {
-        Ok(collected) => collected.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => return Ok(too_large()),
-        Err(_) => return Err(NoAnswer::RequestCut),
-    };
-    Ok(request::serve(&mesh, head, body, arrived_ms).await)
-}
-
-fn too_large() -> Response<Full<hyper::body::Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = StatusCode::PAYLOAD_TOO_LARGE;
-    response.headers_mut().insert(CONNECTION, serve::CLOSE);
-    response
-}
--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -157,7 +157,7 @@
 
 /// Reads the configuration from the store whenever it is this daemon's turn.
 pub async fn read(mesh: Rc<Mesh>) {
-    let store = StoreClient::new(mesh.executor.clone(), mesh.settings.platform_addr);
+    let store = StoreClient::new(mesh.settings.platform_addr);
     let mut revision: Option<u64> = None;
     let mut failures = 0;
     let mut failing: Option<String> = None;
--- a/crates/daemon/src/mesh/control.rs
+++ b/crates/daemon/src/mesh/control.rs
@@ -1,57 +1,63 @@
 //! Heartbeats of the target beside this daemon, readiness, and the operators' dump.
 
-use super::serve::{self, Answered, NoAnswer};
-use super::{Mesh, sleep_ms};
+use super::Mesh;
 use crate::logging::log_event;
-use async_net::TcpListener;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Bytes, Incoming};
-use hyper::{Method, Request, Response, StatusCode};
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Method, Request, Response, StatusCode};
 use pomeloreach_core::event::Event;
 use pomeloreach_core::mesh::heartbeat::Heard;
+use pomeloreach_core::mesh::peers::Peer;
+use pomeloreach_core::mesh::state::{DaemonRecord, DaemonState};
 use pomeloreach_platform::control::{ControlCall, control_call, decode_heartbeat, decode_leave};
+use pomeloreach_wire::h1::server::{ServerLimits, Service};
 use serde::Serialize;
+use std::future::{Ready, ready};
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// The largest heartbeat, in bytes.
-const BODY_BYTES_MAX: usize = 64 * 1024;
-/// How long a connection may stay idle, in milliseconds; longer than the pause between heartbeats.
-const IDLE_MS: u64 = 30_000;
-/// The pause after a failed accept, in milliseconds.
-const ACCEPT_PAUSE_MS: u64 = 50;
+/// What may be sent to this port; a heartbeat has some hundred bytes.
+const LIMITS: ServerLimits = ServerLimits {
+    header_bytes_max: 16 * 1024,
+    body_bytes_max: 64 * 1024,
+    header_timeout_ms: 5_000,
+    // Longer than the pause between heartbeats.
+    idle_timeout_ms: 30_000,
+};
 
-/// Accepts the target, the platform and operators.
-pub async fn accept(mesh: Rc<Mesh>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep_ms(ACCEPT_PAUSE_MS).await;
-            continue;
-        };
-        let task_mesh = mesh.clone();
-        mesh.spawn(async move {
-            let handler_mesh = task_mesh.clone();
-            let handle = move |request| handle(handler_mesh.clone(), request);
-            serve::connection(task_mesh, stream, IDLE_MS, handle).await;
-        });
+/// Answers the target, the platform and operators.
+#[derive(Clone)]
+pub struct Operators(pub Rc<Mesh>);
+
+impl Service for Operators {
+    type Answering = Ready<Response<Bytes>>;
+
+    fn answer(&self, request: Request<Bytes>) -> Self::Answering {
+        ready(handle(&self.0, &request))
+    }
+
+    fn limits(&self) -> ServerLimits {
+        LIMITS
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.0.leaving.get()
     }
 }
 
-async fn handle(mesh: Rc<Mesh>, request: Request<Incoming>) -> Answered {
-    let (head, body) = request.into_parts();
-    let collected = Limited::new(body, BODY_BYTES_MAX).collect().await;
-    let body = collected.map_err(|_| NoAnswer::RequestCut)?.to_bytes();
-    Ok(match control_call(&head.method, head.uri.path()) {
-        Some(ControlCall::Heartbeat { id }) => heartbeat(&mesh, id, &body),
-        Some(ControlCall::Leave { id }) => leave(&mesh, &id, &body),
+fn handle(mesh: &Rc<Mesh>, request: &Request<Bytes>) -> Response<Bytes> {
+    let (method, path) = (request.method(), request.uri().path());
+    match control_call(method, path) {
+        Some(ControlCall::Heartbeat { id }) => heartbeat(mesh, id, request.body()),
+        Some(ControlCall::Leave { id }) => leave(mesh, &id, request.body()),
         Some(ControlCall::Readiness) if mesh.is_ready() => empty(StatusCode::OK),
         Some(ControlCall::Readiness) => empty(StatusCode::SERVICE_UNAVAILABLE),
-        None if head.method == Method::GET && head.uri.path() == "/dump" => json(&dump(&mesh)),
+        None if *method == Method::GET && path == "/dump" => json(&dump(mesh)),
         None => empty(StatusCode::NOT_FOUND),
-    })
+    }
 }
 
-fn heartbeat(mesh: &Rc<Mesh>, id: Arc<str>, body: &[u8]) -> Response<Full<Bytes>> {
+fn heartbeat(mesh: &Rc<Mesh>, id: Arc<str>, body: &[u8]) -> Response<Bytes> {
     let settings = mesh.mesh_settings.borrow().clone();
     let decoded = decode_heartbeat(id.clone(), body, settings.target_addr, &settings.service);
     let heartbeat = match decoded {
@@ -78,7 +84,7 @@
     json(&serde_json::Map::new())
 }
 
-fn leave(mesh: &Rc<Mesh>, id: &str, body: &[u8]) -> Response<Full<Bytes>> {
+fn leave(mesh: &Rc<Mesh>, id: &str, body: &[u8]) -> Response<Bytes> {
     if mesh.target.borrow_mut().leave(id, decode_leave(body)) {
         log_event(Event::TargetLeft, &format!("target={id}"));
         mesh.door.refresh(mesh);
@@ -91,16 +97,16 @@
 #[derive(Serialize)]
 struct Dump {
     uptime_ms: u64,
-    own: pomeloreach_core::mesh::state::DaemonRecord,
-    state: pomeloreach_core::mesh::state::DaemonState,
+    own: DaemonRecord,
+    state: DaemonState,
     in_flight: u32,
     peers: Vec<PeerDump>,
 }
 
 #[derive(Serialize)]
 struct PeerDump {
-    record: pomeloreach_core::mesh::state::DaemonRecord,
-    state: Option<pomeloreach_core::mesh::state::DaemonState>,
+    record: DaemonRecord,
+    state: Option<DaemonState>,
     is_linked: bool,
     heard_ms_ago: u64,
     outstanding: u16,
@@ -109,7 +115,7 @@
 fn dump(mesh: &Rc<Mesh>) -> Dump {
     let now_ms = mesh.now_ms();
     let peers = mesh.peers.borrow();
-    let peer_dump = |peer: &pomeloreach_core::mesh::peers::Peer| PeerDump {
+    let peer_dump = |peer: &Peer| PeerDump {
         record: peer.record.clone(),
         state: peer.state.clone(),
         is_linked: peer.is_linked,
@@ -125,20 +131,18 @@
     }
 }
 
-fn empty(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+fn empty(status: StatusCode) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
     *response.status_mut() = status;
     response
 }
 
-fn json<T: Serialize>(value: &T) -> Response<Full<Bytes>> {
+fn json<T: Serialize>(value: &T) -> Response<Bytes> {
     let Ok(body) = serde_json::to_vec(value) else {
         return empty(StatusCode::INTERNAL_SERVER_ERROR);
     };
-    let mut response = Response::new(Full::new(Bytes::from(body)));
-    response.headers_mut().insert(
-        hyper::header::CONTENT_TYPE,
-        hyper::header::HeaderValue::from_static("application/json"),
-    );
+    let mut response = Response::new(Bytes::from(body));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
     response
 }
--- a/crates/daemon/src/mesh/directory.rs
+++ b/crates/daemon/src/mesh/directory.rs
@@ -22,7 +22,7 @@
 
 /// Announces this daemon, and learns of the others.
 pub async fn keep(mesh: Rc<Mesh>) {
-    let store = StoreClient::new(mesh.executor.clone(), mesh.settings.platform_addr);
+    let store = StoreClient::new(mesh.settings.platform_addr);
     until_done(&mesh, || store.announce(&mesh.own, ANSWER_MS)).await;
     let mut may_be_old = false;
     loop {
@@ -59,7 +59,7 @@
 
 /// Removes the record of a daemon whose VM is being removed.
 pub async fn withdraw(mesh: &Rc<Mesh>) {
-    let store = StoreClient::new(mesh.executor.clone(), mesh.settings.platform_addr);
+    let store = StoreClient::new(mesh.settings.platform_addr);
     if let Err(error) = store.withdraw(&mesh.own.name, ANSWER_MS).await {
         log_event(Event::StoreFailing, &format!("call=withdraw reason={error}"));
     }
--- a/crates/daemon/src/mesh/door.rs
+++ b/crates/daemon/src/mesh/door.rs
@@ -4,11 +4,10 @@
 use super::Mesh;
 use crate::logging::log_event;
 use async_channel::{Receiver, Sender};
+use bytes::Bytes;
 use futures_lite::future::{or, pending};
-use http_body_util::Full;
-use hyper::body::Bytes;
-use hyper::header::{HeaderName, HeaderValue};
-use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
+use http::header::{HeaderName, HeaderValue};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use pomeloreach_core::admission::{Admission, Admit, Arrival};
 use pomeloreach_core::call::{BODY_BYTES_MAX, CallRequest, CallResponse, Header};
 use pomeloreach_core::code::ResultCode;
@@ -18,7 +17,8 @@
 use pomeloreach_core::mesh::state::TargetLoad;
 use pomeloreach_platform::headers;
 use pomeloreach_wire::clock::{sleep_ms, within_ms};
-use pomeloreach_wire::h1::{self, Connection, ExchangeError, WholeAnswer, WholeRequest};
+use pomeloreach_wire::h1::client::{Connection, ExchangeError};
+use pomeloreach_wire::h1::{self, MessageError};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -226,7 +226,7 @@
         state.end_waits(&expired);
         state
             .kept
-            .retain(|kept| !kept.connection.is_closed() && now_ms < kept.used_ms + kept.idle_ms);
+            .retain(|kept| !kept.connection.is_done() && now_ms < kept.used_ms + kept.idle_ms);
         drop(state);
         let target_state = mesh.target_state();
         if target_state != reported {
@@ -289,10 +289,10 @@
     let answered = hand_over(mesh, &call, deadline_ms).await;
     let now_ms = mesh.now_ms();
     let has_failed = match &answered {
-        Ok(answer) => answer.status.is_server_error(),
+        Ok(answer) => answer.status().is_server_error(),
         Err((code, reached_target)) => *reached_target || *code == ResultCode::TargetUnreachable,
     };
-    place.is_measured = matches!(&answered, Ok(answer) if !answer.status.is_server_error())
+    place.is_measured = matches!(&answered, Ok(answer) if !answer.status().is_server_error())
         || matches!(&answered, Err((ResultCode::DeadlineAfterRun, _)));
     drop(place);
     mesh.door.state.borrow_mut().note_result(has_failed, now_ms);
@@ -301,12 +301,12 @@
             mesh.target.borrow_mut().answered(now_ms);
             let response = CallResponse {
                 code: ResultCode::Answered,
-                http_status: answer.status.as_u16(),
-                headers: passed_headers(&answer.headers),
-                body_bytes: answer.body.len() as u64,
+                http_status: answer.status().as_u16(),
+                headers: passed_headers(answer.headers()),
+                body_bytes: answer.body().len() as u64,
                 in_flight: mesh.door.in_flight(),
             };
-            let body = answer.body;
+            let body = answer.into_body();
             DoorAnswer { response, reached_target: true, retry_after_ms: 0, body }
         }
         Err((code, reached_target)) => refusal(mesh, code, reached_target),
@@ -362,26 +362,19 @@
     mesh: &Rc<Mesh>,
     call: &DoorCall,
     deadline_ms: u64,
-) -> Result<WholeAnswer, (ResultCode, bool)> {
+) -> Result<Response<Bytes>, (ResultCode, bool)> {
+    let mut connection = connect(mesh).await?;
     let left_ms = deadline_ms.saturating_sub(mesh.now_ms());
-    let mut request = target_request(call, left_ms).ok_or((ResultCode::RequestCut, false))?;
-    loop {
-        let mut connection = connect(mesh).await?;
-        let left_ms = deadline_ms.saturating_sub(mesh.now_ms());
-        let exchange = connection.exchange(request, BODY_BYTES_MAX);
-        let Some(exchanged) = within_ms(left_ms, exchange).await else {
-            return Err((ResultCode::DeadlineAfterRun, true));
-        };
-        let answer = match exchanged {
-            Ok(answer) => answer,
-            Err(ExchangeError::NotSent(unsent)) => {
-                request = *unsent;
-                continue;
-            }
-            Err(ExchangeError::Cut(_)) => return Err((ResultCode::AnswerCut, true)),
-            Err(_) => return Err((ResultCode::AnswerLost, true)),
-        };
-        return accept(mesh, call, connection, answer);
+    let request = target_request(call, left_ms).ok_or((ResultCode::RequestCut, false))?;
+    let is_stray = |answer: &HeaderMap| headers::target_head(answer, &call.request_id).is_stray;
+    let exchange = connection.exchange(&request, BODY_BYTES_MAX, is_stray);
+    match within_ms(left_ms, exchange).await {
+        None => Err((ResultCode::DeadlineAfterRun, true)),
+        Some(Ok(answer)) => accept(mesh, call, connection, answer),
+        Some(Err(ExchangeError::NoAnswer(MessageError::Ended | MessageError::Broken(_)))) => {
+            Err((ResultCode::AnswerLost, true))
+        }
+        Some(Err(_)) => Err((ResultCode::AnswerCut, true)),
     }
 }
 
@@ -390,25 +383,22 @@
     mesh: &Rc<Mesh>,
     call: &DoorCall,
     connection: Connection,
-    answer: WholeAnswer,
-) -> Result<WholeAnswer, (ResultCode, bool)> {
-    let said = headers::target_head(&answer.headers, &call.request_id);
-    if said.is_stray {
-        return Err((ResultCode::AnswerLost, true));
-    }
-    if answer.status == StatusCode::MISDIRECTED_REQUEST {
+    answer: Response<Bytes>,
+) -> Result<Response<Bytes>, (ResultCode, bool)> {
+    let said = headers::target_head(answer.headers(), &call.request_id);
+    if answer.status() == StatusCode::MISDIRECTED_REQUEST {
         mesh.target.borrow_mut().unreachable();
         return Err((ResultCode::WrongInstance, true));
     }
-    if !connection.is_closed() {
-        let idle_ms = idle_ms(&answer.headers);
+    if !connection.is_done() {
+        let idle_ms = idle_ms(answer.headers());
         let kept = Kept { connection, used_ms: mesh.now_ms(), idle_ms };
         mesh.door.state.borrow_mut().kept.push(kept);
     }
     if said.not_executed {
         return Err((ResultCode::TargetFull, true));
     }
-    if answer.status.is_success() && (!said.is_signed || said.is_encoded) {
+    if answer.status().is_success() && (!said.is_signed || said.is_encoded) {
         return Err((ResultCode::AnswerCut, true));
     }
     Ok(answer)
@@ -418,12 +408,12 @@
     let now_ms = mesh.now_ms();
     loop {
         let Some(kept) = mesh.door.state.borrow_mut().kept.pop() else { break };
-        if kept.connection.is_usable() && now_ms < kept.used_ms + kept.idle_ms {
+        if now_ms < kept.used_ms + kept.idle_ms && kept.connection.is_usable().await {
             return Ok(kept.connection);
         }
     }
     let addr = mesh.mesh_settings.borrow().target_addr;
-    let opened = Connection::open(&mesh.executor, addr, CONNECT_TIMEOUT_MS).await;
+    let opened = Connection::open(addr, CONNECT_TIMEOUT_MS).await;
     opened.map_err(|error| {
         log_event(Event::TargetUnreachable, &format!("reason={error}"));
         mesh.target.borrow_mut().unreachable();
@@ -442,8 +432,8 @@
     seconds.map_or(IDLE_MS, |seconds| (seconds * 1_000).saturating_sub(IDLE_MARGIN_MS))
 }
 
-fn target_request(call: &DoorCall, left_ms: u64) -> Option<WholeRequest> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+fn target_request(call: &DoorCall, left_ms: u64) -> Option<Request<Bytes>> {
+    let mut request = Request::new(call.body.clone());
     *request.method_mut() = call.request.method.parse::<Method>().ok()?;
     *request.uri_mut() = call.request.path.parse::<Uri>().ok()?;
     for Header { name, value } in &call.request.headers {
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -8,11 +8,11 @@
 use crate::logging::log_event;
 use async_channel::{Receiver, Sender};
 use async_net::{TcpListener, TcpStream};
+use bytes::Bytes;
 use event_listener::Event as Notify;
 use futures_lite::future::or;
 use futures_lite::io::BufReader;
 use futures_lite::{AsyncWriteExt, StreamExt};
-use hyper::body::Bytes;
 use pomeloreach_core::event::Event;
 use pomeloreach_core::mesh::message::{Answer, Call, LinkMessage};
 use pomeloreach_core::mesh::state::{DaemonRecord, DaemonState};
@@ -34,15 +34,23 @@
 const DIAL_LOOK_MS: u64 = 100;
 /// How often a changed load is told to peers of the same region, in milliseconds.
 const REPORT_MS: u64 = 250;
-/// How often peers of other regions hear of it, in milliseconds; bytes between regions are dear.
-const FAR_REPORT_MS: u64 = 1_000;
-/// How often each peer hears something in any case, in milliseconds.
+/// How often peers of the same region hear something in any case, in milliseconds.
 const HEARTBEAT_MS: u64 = 1_000;
+/// How often peers of other regions hear something, in milliseconds; bytes between regions are
+/// dear.
+const FAR_HEARTBEAT_MS: u64 = 2_000;
+/// How often a daemon that reads the store tells all peers so, in milliseconds: often enough that
+/// none of them takes its knowledge for stale.
+const READER_HEARTBEAT_MS: u64 = 600;
 /// After this long without a message the other daemon is taken for silent, in milliseconds: two
 /// heartbeats and the longest delay of a retransmission.
 const SILENT_MS: u64 = 2_600;
+const FAR_SILENT_MS: u64 = 4_600;
 /// How often the daemon that opened a link shows that it lives, in milliseconds.
 const PING_MS: u64 = 2_500;
+/// A daemon whose knowledge from the store is younger than this counts as a reader, in
+/// milliseconds.
+const READER_AGE_MS: u64 = 1_500;
 /// After this long without a message an accepted link is closed, in milliseconds.
 const ACCEPTED_SILENT_MS: u64 = 8_000;
 
@@ -206,6 +214,7 @@
     }
     let pending = Rc::new(RefCell::new(BTreeMap::new()));
     let start_id = own.start_id;
+    let is_near = own.region == mesh.own.region;
     let link = OutLink { frames: frames.clone(), pending: pending.clone(), start_id };
     mesh.links.out.borrow_mut().insert(name.clone(), link);
     *opened = Some((name.clone(), start_id));
@@ -213,9 +222,10 @@
     mesh.peers.borrow_mut().linked_up(&name, state.clone(), mesh.now_ms());
     log_event(Event::PeerJoined, &format!("peer={name}"));
     ask_config(mesh, &name, &state);
+    let silent_ms = if is_near { SILENT_MS } else { FAR_SILENT_MS };
     let receiving = async {
         loop {
-            let message = read(&mut reader, SILENT_MS).await?;
+            let message = read(&mut reader, silent_ms).await?;
             receive_opened(mesh, &name, &pending, message)?;
         }
     };
@@ -422,14 +432,17 @@
         let now_ms = mesh.now_ms();
         let state = mesh.state();
         let is_changed = last.as_ref().is_none_or(|last| last.target != state.target);
+        let age_ms = state.config.confirmed_age_ms;
+        let is_reader = age_ms.is_some_and(|age_ms| u64::from(age_ms) < READER_AGE_MS);
         let message = encode(&LinkMessage::State(state.clone()));
         for link in mesh.links.accepted.borrow().values() {
             let is_near = link.region == mesh.own.region;
-            let pause_ms = match (is_near, is_changed) {
+            let pause_ms = match is_near {
                 _ if is_urgent => 0,
-                (true, true) => REPORT_MS,
-                (false, true) => FAR_REPORT_MS,
-                (_, false) => HEARTBEAT_MS,
+                true if is_changed => REPORT_MS,
+                _ if is_reader => READER_HEARTBEAT_MS,
+                true => HEARTBEAT_MS,
+                false => FAR_HEARTBEAT_MS,
             };
             // The margin lets a report go out with the tick that is nearest to its time.
             if now_ms + REPORT_MS / 2 >= link.reported_ms.get() + pause_ms {
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -9,7 +9,6 @@
 mod door;
 mod links;
 mod request;
-mod serve;
 
 use crate::error::DaemonError;
 use crate::logging::log_event;
@@ -177,9 +176,9 @@
     mesh.spawn(directory::keep(mesh.clone()));
     mesh.spawn(config::read(mesh.clone()));
     mesh.spawn(door::watch(mesh.clone()));
-    mesh.spawn(control::accept(mesh.clone(), operator_listener));
-    mesh.spawn(control::accept(mesh.clone(), ready_listener));
-    mesh.spawn(callers::accept(mesh.clone(), caller_listener));
+    mesh.spawn(callers::accept(mesh.clone(), operator_listener, control::Operators(mesh.clone())));
+    mesh.spawn(callers::accept(mesh.clone(), ready_listener, control::Operators(mesh.clone())));
+    mesh.spawn(callers::accept(mesh.clone(), caller_listener, callers::Callers(mesh.clone())));
     mesh.spawn(watch_settings(mesh.clone(), path.clone()));
     log_event(
         Event::DaemonStarted,
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -3,11 +3,12 @@
 use super::door::{self, DoorCall, passed_headers};
 use super::{Mesh, links};
 use crate::logging::log_event;
-use http_body_util::Full;
-use hyper::body::Bytes;
-use hyper::header::{HOST, HeaderName, HeaderValue};
-use hyper::http::request::Parts;
-use hyper::{Response, StatusCode};
+use async_channel::{Receiver, Sender};
+use async_executor::Task;
+use bytes::Bytes;
+use http::header::{HOST, HeaderName, HeaderValue};
+use http::request::Parts;
+use http::{Response, StatusCode};
 use pomeloreach_core::budget::{BudgetLimits, RetryBudget};
 use pomeloreach_core::call::{CallRequest, CallResponse};
 use pomeloreach_core::code::{Outcome, ResultCode};
@@ -44,7 +45,7 @@
 const RETRY_AFTER_UNKNOWN_MS: u64 = 300;
 
 /// One request with what its attempts share.
-struct Task<'a> {
+struct Serving<'a> {
     mesh: &'a Rc<Mesh>,
     route: &'a MatchedRoute,
     service: Arc<str>,
@@ -52,6 +53,8 @@
     request_id: Arc<str>,
     request: CallRequest,
     body: Bytes,
+    /// Attempts that have not ended.
+    running: usize,
     arrived_ms: u64,
     goal_ms: u64,
     deadline_ms: u64,
@@ -70,6 +73,66 @@
     body: Bytes,
 }
 
+/// One attempt.
+struct Job {
+    mesh: Rc<Mesh>,
+    /// The daemon beside the target; absent for the target beside this one.
+    peer: Option<Arc<str>>,
+    request: CallRequest,
+    terms: CallTerms,
+    body: Bytes,
+    request_id: Arc<str>,
+}
+
+impl Job {
+    async fn run(self) -> Attempt {
+        match self.peer.clone() {
+            None => self.run_here().await,
+            Some(peer) => self.run_there(&peer).await,
+        }
+    }
+
+    async fn run_here(self) -> Attempt {
+        let Self { mesh, request, terms, body, request_id, .. } = self;
+        let call = DoorCall { request, terms, body, request_id };
+        let (answer, _cancel_on_drop) = door::submit(&mesh, call);
+        match answer.recv().await {
+            Ok(answer) => Attempt {
+                response: answer.response,
+                body: answer.body,
+                reached_target: answer.reached_target,
+                retry_after_ms: answer.retry_after_ms.into(),
+            },
+            Err(_) => Attempt::failed(ResultCode::AnswerLost, true),
+        }
+    }
+
+    async fn run_there(self, peer: &Arc<str>) -> Attempt {
+        let Self { mesh, request, terms, body, .. } = self;
+        let Some(sent) = links::call(&mesh, peer, Call { call: 0, request, terms, body }) else {
+            return Attempt::failed(ResultCode::TargetUnreachable, false);
+        };
+        let mut outstanding = Outstanding::new(&mesh, peer);
+        let Some(answer) = sent.answer().await else {
+            outstanding.is_lost = true;
+            return Attempt::failed(ResultCode::AnswerLost, true);
+        };
+        let is_gone = matches!(
+            answer.response.code,
+            ResultCode::TargetDraining | ResultCode::WrongInstance | ResultCode::TargetUnreachable
+        );
+        if is_gone {
+            mesh.peers.borrow_mut().target_refused(peer);
+        }
+        Attempt {
+            response: answer.response,
+            body: answer.body,
+            reached_target: answer.reached_target,
+            retry_after_ms: answer.retry_after_ms.into(),
+        }
+    }
+}
+
 /// What became of one attempt.
 struct Attempt {
     response: CallResponse,
@@ -86,12 +149,7 @@
 }
 
 /// Serves one request from its arrival to its answer.
-pub async fn serve(
-    mesh: &Rc<Mesh>,
-    head: Parts,
-    body: Bytes,
-    arrived_ms: u64,
-) -> Response<Full<Bytes>> {
+pub async fn serve(mesh: &Rc<Mesh>, head: Parts, body: Bytes, arrived_ms: u64) -> Response<Bytes> {
     let said = headers::caller_head(&head.headers);
     let Some(routes) = mesh.config.routes() else {
         return refuse(&said.request_id, ResultCode::DaemonNotReady, RETRY_AFTER_UNKNOWN_MS);
@@ -104,7 +162,7 @@
     let allowed_ms = u64::from(route.route.deadline_ms);
     let deadline_ms = arrived_ms + said.deadline_ms.unwrap_or(allowed_ms).min(allowed_ms);
     let goal_ms = route.route.target_latency_ms.map_or(allowed_ms, u64::from);
-    let mut task = Task {
+    let mut serving = Serving {
         mesh,
         route,
         service: part.pool.service,
@@ -112,6 +170,7 @@
         request: call_request(mesh, &head, &body),
         request_id: said.request_id,
         body,
+        running: 0,
         arrived_ms,
         goal_ms: (arrived_ms + goal_ms).min(deadline_ms),
         deadline_ms,
@@ -121,9 +180,9 @@
         failure: None,
         retry_after_ms: 0,
     };
-    task.earn_retries();
-    let code = task.run().await;
-    task.respond(code)
+    serving.earn_retries();
+    let ended = serving.run().await;
+    serving.respond(ended)
 }
 
 fn host(head: &Parts) -> String {
@@ -146,36 +205,101 @@
     }
 }
 
-impl Task<'_> {
-    /// Makes attempts until one answers or no other can.
+impl Serving<'_> {
+    /// Makes attempts until one answers or no other can. An attempt that stalls goes on beside the
+    /// next one, so that nothing that still may come is given up.
     async fn run(&mut self) -> Result<Reply, ResultCode> {
+        let (results, ended) = async_channel::unbounded();
+        // Dropping a task cancels its attempt.
+        let mut tasks: Vec<Task<()>> = Vec::new();
         loop {
             let now_ms = self.mesh.now_ms();
             if now_ms >= self.deadline_ms {
                 return self.end(ResultCode::DeadlineBeforeRun);
             }
-            let choice = self.choose(now_ms);
-            let (name, target_id) = match choice {
-                Choice::Own => (None, self.own_target_id()),
-                Choice::Peer { name, target_id } => (Some(name), target_id),
-                Choice::Full { retry_after_ms } => {
-                    self.retry_after_ms = self.retry_after_ms.max(retry_after_ms);
-                    return self.end(ResultCode::TargetFull);
-                }
-                Choice::NoTarget => {
-                    self.retry_after_ms = self.retry_after_ms.max(RETRY_AFTER_UNKNOWN_MS);
-                    return self.end(ResultCode::NoTarget);
+            let has_begun = match self.begin(now_ms, &results) {
+                Ok(task) => {
+                    tasks.push(task);
+                    self.running += 1;
+                    true
                 }
+                Err(code) if self.running == 0 => return self.end(code),
+                Err(_) => false,
             };
-            if self.reached > 0 && !self.spend_retry(now_ms) {
-                return self.end(ResultCode::RetryBudgetSpent);
+            let may_stall = has_begun && self.may_repeat();
+            let Some(attempt) = self.next_result(&ended, may_stall).await else {
+                self.suspect(now_ms);
+                continue;
+            };
+            self.running -= 1;
+            if let Some(result) = self.take(attempt) {
+                return result;
             }
-            self.tried.insert(name.clone().unwrap_or_else(|| self.mesh.own.name.clone()));
-            let attempt = self.attempt(name.as_ref(), target_id, now_ms).await;
-            if let Some(ended) = self.take(attempt) {
-                return ended;
+        }
+    }
+
+    /// Begins another attempt, or says why there is none.
+    fn begin(&mut self, now_ms: u64, results: &Sender<Attempt>) -> Result<Task<()>, ResultCode> {
+        if self.running > 0 && !self.may_repeat() {
+            return Err(ResultCode::DeadlineAfterRun);
+        }
+        let (peer, target_id) = match self.choose(now_ms) {
+            Choice::Own => (None, self.own_target_id()),
+            Choice::Peer { name, target_id } => (Some(name), target_id),
+            Choice::Full { retry_after_ms } => {
+                self.retry_after_ms = self.retry_after_ms.max(retry_after_ms);
+                return Err(ResultCode::TargetFull);
+            }
+            Choice::NoTarget => {
+                self.retry_after_ms = self.retry_after_ms.max(RETRY_AFTER_UNKNOWN_MS);
+                return Err(ResultCode::NoTarget);
             }
+        };
+        if self.reached + self.running > 0 && !self.spend_retry(now_ms) {
+            return Err(ResultCode::RetryBudgetSpent);
         }
+        self.tried.insert(peer.clone().unwrap_or_else(|| self.mesh.own.name.clone()));
+        let job = self.job(peer, target_id, now_ms);
+        let results = results.clone();
+        Ok(self.mesh.executor.spawn(async move {
+            let attempt = job.run().await;
+            // The request may have ended meanwhile.
+            results.try_send(attempt).ok();
+        }))
+    }
+
+    /// Holds a stalled attempt against daemons that have been silent since it began.
+    fn suspect(&self, began_ms: u64) {
+        let now_ms = self.mesh.now_ms();
+        let mut peers = self.mesh.peers.borrow_mut();
+        for name in &self.tried {
+            peers.suspect(name, began_ms, now_ms);
+        }
+    }
+
+    fn job(&self, peer: Option<Arc<str>>, target_id: Arc<str>, now_ms: u64) -> Job {
+        let mut request = self.request.clone();
+        request.instance = target_id;
+        request.deadline_ms = self.deadline_ms - now_ms;
+        let terms = CallTerms {
+            goal_ms: self.goal_ms.saturating_sub(now_ms),
+            rank: self.route.route.priority,
+            is_idempotent: self.route.route.idempotent,
+        };
+        let (body, request_id) = (self.body.clone(), self.request_id.clone());
+        Job { mesh: self.mesh.clone(), peer, request, terms, body, request_id }
+    }
+
+    /// Whether another target may be asked while the running attempts go on.
+    fn may_repeat(&self) -> bool {
+        self.route.route.idempotent && self.reached + self.running < self.attempts_max
+    }
+
+    /// Waits for the end of an attempt, for as long as it has before another one begins.
+    async fn next_result(&self, ended: &Receiver<Attempt>, may_repeat: bool) -> Option<Attempt> {
+        let left_ms = self.deadline_ms.saturating_sub(self.mesh.now_ms());
+        let patience_ms = if may_repeat { self.patience_ms(left_ms) } else { left_ms };
+        within_ms(patience_ms, ended.recv()).await?.ok()
     }
 
     fn own_target_id(&self) -> Arc<str> {
@@ -198,9 +322,6 @@
 
     /// How long an attempt may take before another target is asked.
     fn patience_ms(&self, left_ms: u64) -> u64 {
-        if !self.route.route.idempotent || self.reached + 1 >= self.attempts_max {
-            return left_ms;
-        }
         let left = left_ms as f64;
         let usual_ms = self.mesh.answer_ms.borrow().get(&self.route.name).copied();
         let patience_ms = match usual_ms {
@@ -213,86 +334,17 @@
         (patience_ms as u64).min(left_ms)
     }
 
-    async fn attempt(&self, peer: Option<&Arc<str>>, target_id: Arc<str>, now_ms: u64) -> Attempt {
-        let left_ms = self.deadline_ms - now_ms;
-        let patience_ms = self.patience_ms(left_ms);
-        let mut request = self.request.clone();
-        request.instance = target_id;
-        request.deadline_ms = left_ms;
-        let terms = CallTerms {
-            goal_ms: self.goal_ms.saturating_sub(now_ms),
-            rank: self.route.route.priority,
-            is_idempotent: self.route.route.idempotent,
-        };
-        let attempting = async {
-            match peer {
-                None => self.attempt_here(request, terms).await,
-                Some(peer) => self.attempt_there(peer, request, terms).await,
-            }
-        };
-        let attempted = within_ms(patience_ms, attempting).await;
-        attempted.unwrap_or_else(|| Attempt::failed(ResultCode::DeadlineAfterRun, true))
-    }
-
-    async fn attempt_here(&self, request: CallRequest, terms: CallTerms) -> Attempt {
-        let body = self.body.clone();
-        let request_id = self.request_id.clone();
-        let call = DoorCall { request, terms, body, request_id };
-        let (answer, _cancel_on_drop) = door::submit(self.mesh, call);
-        match answer.recv().await {
-            Ok(answer) => Attempt {
-                response: answer.response,
-                body: answer.body,
-                reached_target: answer.reached_target,
-                retry_after_ms: answer.retry_after_ms.into(),
-            },
-            Err(_) => Attempt::failed(ResultCode::AnswerLost, true),
-        }
-    }
-
-    async fn attempt_there(
-        &self,
-        peer: &Arc<str>,
-        request: CallRequest,
-        terms: CallTerms,
-    ) -> Attempt {
-        let call = Call { call: 0, request, terms, body: self.body.clone() };
-        let Some(sent) = links::call(self.mesh, peer, call) else {
-            return Attempt::failed(ResultCode::TargetUnreachable, false);
-        };
-        let mut outstanding = Outstanding::new(self.mesh, peer);
-        let Some(answer) = sent.answer().await else {
-            return Attempt::failed(ResultCode::AnswerLost, true);
-        };
-        outstanding.is_lost = false;
-        let code = answer.response.code;
-        let is_gone = matches!(
-            code,
-            ResultCode::TargetDraining | ResultCode::WrongInstance | ResultCode::TargetUnreachable
-        );
-        if is_gone {
-            self.mesh.peers.borrow_mut().target_refused(peer);
-        }
-        Attempt {
-            response: answer.response,
-            body: answer.body,
-            reached_target: answer.reached_target,
-            retry_after_ms: answer.retry_after_ms.into(),
-        }
-    }
-
     /// Takes in what became of an attempt. Returns how the request ends, if it ends.
     fn take(&mut self, attempt: Attempt) -> Option<Result<Reply, ResultCode>> {
         let code = attempt.response.code;
-        let is_idempotent = self.route.route.idempotent;
         self.reached += usize::from(attempt.reached_target);
         self.retry_after_ms = self.retry_after_ms.max(attempt.retry_after_ms);
-        let may_repeat = is_idempotent && self.reached < self.attempts_max;
+        let goes_on = self.running > 0 || self.may_repeat();
         match code.outcome() {
             Outcome::Answered => {
                 let status = attempt.response.http_status;
                 let reply = Reply { response: attempt.response, body: attempt.body };
-                if status < 500 || !may_repeat {
+                if status < 500 || !goes_on {
                     return Some(Ok(reply));
                 }
                 self.may_have_run = Some(ResultCode::AnswerLost);
@@ -300,12 +352,13 @@
             }
             Outcome::Unknown => {
                 self.may_have_run = Some(code);
-                if !may_repeat {
+                if !goes_on {
                     return Some(self.end(code));
                 }
             }
             Outcome::NotRun => {
-                if self.tried.len() >= DOORS_MAX || self.reached >= self.attempts_max {
+                let is_over = self.tried.len() >= DOORS_MAX || self.reached >= self.attempts_max;
+                if is_over && self.running == 0 {
                     return Some(self.end(code));
                 }
             }
@@ -332,6 +385,9 @@
         if let Some(failure) = self.failure.take() {
             return Ok(failure);
         }
+        if self.running > 0 {
+            return Err(ResultCode::DeadlineAfterRun);
+        }
         let is_over = self.mesh.now_ms() >= self.deadline_ms;
         match (self.may_have_run, code.outcome()) {
             (Some(_), _) if is_over => Err(ResultCode::DeadlineAfterRun),
@@ -367,7 +423,7 @@
         budgets.get_mut(&self.service).is_some_and(|budget| budget.spend(now_ms))
     }
 
-    fn respond(&mut self, ended: Result<Reply, ResultCode>) -> Response<Full<Bytes>> {
+    fn respond(&mut self, ended: Result<Reply, ResultCode>) -> Response<Bytes> {
         let took_ms = self.mesh.now_ms() - self.arrived_ms;
         match ended {
             Ok(reply) => {
@@ -412,7 +468,7 @@
 impl<'a> Outstanding<'a> {
     fn new(mesh: &'a Mesh, peer: &'a str) -> Self {
         mesh.peers.borrow_mut().call_began(peer);
-        Self { mesh, peer, is_lost: true }
+        Self { mesh, peer, is_lost: false }
     }
 }
 
@@ -423,8 +479,8 @@
     }
 }
 
-fn pass_on(reply: Reply) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(reply.body));
+fn pass_on(reply: Reply) -> Response<Bytes> {
+    let mut response = Response::new(reply.body);
     let status = StatusCode::from_u16(reply.response.http_status);
     *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
     for header in &reply.response.headers {
@@ -438,8 +494,8 @@
 }
 
 /// The system's own answer to a request that has no answer of a target.
-fn refuse(request_id: &str, code: ResultCode, retry_after_ms: u64) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+fn refuse(request_id: &str, code: ResultCode, retry_after_ms: u64) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
     let status = match code {
         // A deadline that passed before the hand-over leaves the request not run.
         ResultCode::DeadlineBeforeRun => 503,
--- /dev/null
+++ b/crates/wire/src/h1/client.rs
@@ -0,0 +1,143 @@
+//! One kept connection to a server, which carries one request at a time.
+
+use super::reader::{Framing, MessageError, Reader, declared_framing};
+use super::{connection_lists, encode_headers};
+use crate::clock::within_ms;
+use async_net::TcpStream;
+use bytes::Bytes;
+use futures_lite::AsyncWriteExt;
+use futures_lite::future::{or, pending, poll_once};
+use http::header::{CONTENT_LENGTH, HOST};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Version};
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// The largest head of an answer, in bytes.
+const HEAD_BYTES_MAX: usize = 64 * 1024;
+
+/// Why there is no whole answer.
+#[derive(Debug, Error)]
+pub enum ExchangeError {
+    #[error("no connection: {0}")]
+    Connect(std::io::Error),
+    #[error("no connection within {0} ms")]
+    ConnectTimeout(u64),
+    /// The request may have arrived.
+    #[error("no whole answer: {0}")]
+    NoAnswer(#[from] MessageError),
+    #[error("no answer within {0} ms")]
+    Timeout(u64),
+}
+
+/// One connection.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    reader: Reader,
+    is_done: bool,
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the other side takes no connection within `timeout_ms`.
+    pub async fn open(addr: SocketAddr, timeout_ms: u64) -> Result<Self, ExchangeError> {
+        let connected = within_ms(timeout_ms, TcpStream::connect(addr)).await;
+        let stream = connected
+            .ok_or(ExchangeError::ConnectTimeout(timeout_ms))?
+            .map_err(ExchangeError::Connect)?;
+        stream.set_nodelay(true).map_err(ExchangeError::Connect)?;
+        let reader = Reader::new(stream.clone());
+        Ok(Self { stream, reader, is_done: false })
+    }
+
+    /// Whether another request can be sent: the server has neither closed the connection nor sent
+    /// bytes that belong to no request.
+    pub async fn is_usable(&self) -> bool {
+        let mut byte = [0];
+        !self.is_done && poll_once(self.stream.peek(&mut byte)).await.is_none()
+    }
+
+    /// Whether the connection has carried its last request.
+    pub fn is_done(&self) -> bool {
+        self.is_done
+    }
+
+    /// Sends a request and reads the whole answer. Answers for which `is_stray` holds belong to
+    /// earlier requests and are skipped. Dropping the future leaves the connection unusable.
+    ///
+    /// # Errors
+    ///
+    /// Any error leaves open whether the request has arrived.
+    pub async fn exchange(
+        &mut self,
+        request: &Request<Bytes>,
+        body_bytes_max: usize,
+        is_stray: impl Fn(&HeaderMap) -> bool,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        self.is_done = true;
+        let bytes = encode(request);
+        let mut is_written = false;
+        let mut writer = self.stream.clone();
+        let writing = async {
+            // Where writing fails there may still be an answer to read.
+            is_written = writer.write_all(&bytes).await.is_ok();
+            pending().await
+        };
+        let reading = read_answer(&mut self.reader, request.method(), body_bytes_max, is_stray);
+        let (response, is_kept) = or(reading, writing).await?;
+        // A server that answers early would take the next request for the rest of this one.
+        self.is_done = !is_kept || !is_written || self.reader.has_bytes();
+        Ok(response)
+    }
+}
+
+async fn read_answer(
+    reader: &mut Reader,
+    method: &Method,
+    body_bytes_max: usize,
+    is_stray: impl Fn(&HeaderMap) -> bool,
+) -> Result<(Response<Bytes>, bool), ExchangeError> {
+    loop {
+        let head = reader.response_head(HEAD_BYTES_MAX).await?;
+        if head.status().is_informational() {
+            continue;
+        }
+        let has_body = method != Method::HEAD
+            && !matches!(head.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        let framing = match declared_framing(head.headers())? {
+            _ if !has_body => Framing::Length(0),
+            Some(framing) => framing,
+            None => Framing::UntilEnd,
+        };
+        let body = reader.body(framing, body_bytes_max).await?;
+        if is_stray(head.headers()) {
+            continue;
+        }
+        let is_kept = framing != Framing::UntilEnd
+            && head.version() == Version::HTTP_11
+            && !connection_lists(head.headers(), "close");
+        return Ok((head.map(|()| body), is_kept));
+    }
+}
+
+fn encode(request: &Request<Bytes>) -> Vec<u8> {
+    let body = request.body();
+    let mut bytes = Vec::with_capacity(512 + body.len());
+    bytes.extend_from_slice(request.method().as_str().as_bytes());
+    bytes.push(b' ');
+    let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
+    bytes.extend_from_slice(path.as_bytes());
+    bytes.extend_from_slice(b" HTTP/1.1\r\n");
+    debug_assert!(request.headers().contains_key(HOST), "every request names its host");
+    encode_headers(request.headers(), &mut bytes);
+    let has_body = !body.is_empty() || !matches!(*request.method(), Method::GET | Method::HEAD);
+    if has_body && !request.headers().contains_key(CONTENT_LENGTH) {
+        bytes.extend_from_slice(format!("content-length: {}\r\n", body.len()).as_bytes());
+    }
+    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(body);
+    bytes
+}
--- /dev/null
+++ b/crates/wire/src/h1/mod.rs
@@ -0,0 +1,50 @@
+//! HTTP/1.1 with kept connections, on the parser of `httparse` and the types of `http`.
+//!
+//! `docs/HTTP.md` lists what `async-h1` and `hyper` cannot do here: the first passes a cut body on
+//! as whole; the second answers requests that were sent ahead one after the other, and ends a
+//! connection on which a stray answer stands before the one that was asked for.
+
+pub mod client;
+mod reader;
+pub mod server;
+
+pub use reader::MessageError;
+
+use http::HeaderMap;
+use http::header::CONNECTION;
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "content-length",
+    "expect",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Whether a header concerns one connection only and is not passed on.
+pub fn is_hop_by_hop(name: &str, headers: &HeaderMap) -> bool {
+    HOP_BY_HOP.contains(&name) || connection_lists(headers, name)
+}
+
+/// Whether the header `Connection` lists an option or a header.
+fn connection_lists(headers: &HeaderMap, wanted: &str) -> bool {
+    let values = headers.get_all(CONNECTION).iter();
+    values
+        .filter_map(|value| value.to_str().ok())
+        .any(|value| value.split(',').any(|listed| listed.trim().eq_ignore_ascii_case(wanted)))
+}
+
+/// Appends the headers as they stand on the wire.
+fn encode_headers(headers: &HeaderMap, bytes: &mut Vec<u8>) {
+    for (name, value) in headers {
+        bytes.extend_from_slice(name.as_str().as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(value.as_bytes());
+        bytes.extend_from_slice(b"\r\n");
+    }
+}
--- /dev/null
+++ b/crates/wire/src/h1/reader.rs
@@ -0,0 +1,258 @@
+//! Reads whole messages from a connection.
+
+use async_net::TcpStream;
+use bytes::{Buf, Bytes, BytesMut};
+use futures_lite::AsyncReadExt;
+use http::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, Version};
+use std::io;
+use thiserror::Error;
+
+/// Headers in one message.
+const HEADERS_MAX: usize = 128;
+/// Bytes that are read at once.
+const READ_BYTES: usize = 16 * 1024;
+/// Bytes of a chunk's size line and of a trailer section.
+const CHUNK_LINE_BYTES_MAX: usize = 4 * 1024;
+
+/// Why no whole message could be read.
+#[derive(Debug, Error)]
+pub enum MessageError {
+    /// Nothing of a further message had come.
+    #[error("the connection ended")]
+    Ended,
+    #[error("the message was cut short")]
+    Cut,
+    #[error("the connection broke: {0}")]
+    Broken(#[from] io::Error),
+    #[error("the message is not HTTP/1.1: {0}")]
+    Malformed(String),
+    #[error("the head has more than {0} bytes")]
+    HeadTooLarge(usize),
+    #[error("the body has more than {0} bytes")]
+    BodyTooLarge(usize),
+    #[error("the message took too long")]
+    TimedOut,
+}
+
+/// How long a body is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    Length(usize),
+    Chunked,
+    /// It ends with the connection.
+    UntilEnd,
+}
+
+/// A connection's bytes that were read and not taken yet.
+#[derive(Debug)]
+pub struct Reader {
+    stream: TcpStream,
+    buffer: BytesMut,
+}
+
+impl Reader {
+    pub fn new(stream: TcpStream) -> Self {
+        Self { stream, buffer: BytesMut::new() }
+    }
+
+    /// The connection itself, for writing to it.
+    pub fn stream(&self) -> TcpStream {
+        self.stream.clone()
+    }
+
+    pub fn has_bytes(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Reads more bytes. Returns whether there were any.
+    pub async fn fill(&mut self) -> Result<bool, MessageError> {
+        let held = self.buffer.len();
+        self.buffer.resize(held + READ_BYTES, 0);
+        let read = self.stream.read(&mut self.buffer[held..]).await;
+        self.buffer.truncate(held + *read.as_ref().unwrap_or(&0));
+        Ok(read? > 0)
+    }
+
+    /// Takes the head of a request if it is there whole.
+    pub fn request_head(&mut self, bytes_max: usize) -> Result<Option<Request<()>>, MessageError> {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+        let mut parsed = httparse::Request::new(&mut headers);
+        let status = parsed.parse(&self.buffer).map_err(malformed)?;
+        let httparse::Status::Complete(length) = status else {
+            return if self.buffer.len() > bytes_max {
+                Err(MessageError::HeadTooLarge(bytes_max))
+            } else {
+                Ok(None)
+            };
+        };
+        if length > bytes_max {
+            return Err(MessageError::HeadTooLarge(bytes_max));
+        }
+        let mut request = Request::new(());
+        *request.method_mut() =
+            parsed.method.unwrap_or_default().parse::<Method>().map_err(malformed)?;
+        *request.uri_mut() = parsed.path.unwrap_or_default().parse::<Uri>().map_err(malformed)?;
+        *request.version_mut() = version(parsed.version);
+        *request.headers_mut() = header_map(parsed.headers)?;
+        self.buffer.advance(length);
+        Ok(Some(request))
+    }
+
+    /// Reads the head of an answer.
+    pub async fn response_head(&mut self, bytes_max: usize) -> Result<Response<()>, MessageError> {
+        loop {
+            let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+            let mut parsed = httparse::Response::new(&mut headers);
+            let status = parsed.parse(&self.buffer).map_err(malformed)?;
+            if let httparse::Status::Complete(length) = status {
+                let mut response = Response::new(());
+                *response.status_mut() =
+                    StatusCode::from_u16(parsed.code.unwrap_or_default()).map_err(malformed)?;
+                *response.version_mut() = version(parsed.version);
+                *response.headers_mut() = header_map(parsed.headers)?;
+                self.buffer.advance(length);
+                return Ok(response);
+            }
+            if self.buffer.len() > bytes_max {
+                return Err(MessageError::HeadTooLarge(bytes_max));
+            }
+            if !self.fill().await? {
+                let is_cut = self.has_bytes();
+                return Err(if is_cut { MessageError::Cut } else { MessageError::Ended });
+            }
+        }
+    }
+
+    /// Reads a whole body.
+    pub async fn body(
+        &mut self,
+        framing: Framing,
+        bytes_max: usize,
+    ) -> Result<Bytes, MessageError> {
+        match framing {
+            Framing::Length(length) if length > bytes_max => {
+                Err(MessageError::BodyTooLarge(bytes_max))
+            }
+            Framing::Length(length) => {
+                while self.buffer.len() < length {
+                    self.fill_or_cut().await?;
+                }
+                Ok(self.buffer.split_to(length).freeze())
+            }
+            Framing::UntilEnd => {
+                while self.fill().await? {
+                    if self.buffer.len() > bytes_max {
+                        return Err(MessageError::BodyTooLarge(bytes_max));
+                    }
+                }
+                Ok(self.buffer.split().freeze())
+            }
+            Framing::Chunked => self.chunked_body(bytes_max).await,
+        }
+    }
+
+    async fn chunked_body(&mut self, bytes_max: usize) -> Result<Bytes, MessageError> {
+        let mut body = BytesMut::new();
+        loop {
+            let size = self.chunk_size().await?;
+            if size == 0 {
+                self.trailers().await?;
+                return Ok(body.freeze());
+            }
+            if size > bytes_max - body.len() {
+                return Err(MessageError::BodyTooLarge(bytes_max));
+            }
+            while self.buffer.len() < size + 2 {
+                self.fill_or_cut().await?;
+            }
+            body.extend_from_slice(&self.buffer.split_to(size));
+            if self.buffer.split_to(2).as_ref() != b"\r\n" {
+                return Err(malformed("a chunk is longer than its size"));
+            }
+        }
+    }
+
+    async fn chunk_size(&mut self) -> Result<usize, MessageError> {
+        loop {
+            match httparse::parse_chunk_size(&self.buffer) {
+                Ok(httparse::Status::Complete((length, size))) => {
+                    self.buffer.advance(length);
+                    return usize::try_from(size).map_err(malformed);
+                }
+                Ok(httparse::Status::Partial) if self.buffer.len() <= CHUNK_LINE_BYTES_MAX => {
+                    self.fill_or_cut().await?;
+                }
+                _ => return Err(malformed("a chunk has no proper size")),
+            }
+        }
+    }
+
+    /// Trailers are read and dropped: they concern the connection that ends here.
+    async fn trailers(&mut self) -> Result<(), MessageError> {
+        loop {
+            if self.buffer.starts_with(b"\r\n") {
+                self.buffer.advance(2);
+                return Ok(());
+            }
+            let end = self.buffer.windows(4).position(|window| window == b"\r\n\r\n");
+            if let Some(end) = end {
+                self.buffer.advance(end + 4);
+                return Ok(());
+            }
+            if self.buffer.len() > CHUNK_LINE_BYTES_MAX {
+                return Err(malformed("the trailers are too long"));
+            }
+            self.fill_or_cut().await?;
+        }
+    }
+
+    async fn fill_or_cut(&mut self) -> Result<(), MessageError> {
+        if self.fill().await? { Ok(()) } else { Err(MessageError::Cut) }
+    }
+}
+
+/// The length that the headers declare, if they declare one. Two lengths that differ, or a length
+/// beside an encoding, are how requests are smuggled, and are refused.
+pub fn declared_framing(headers: &HeaderMap) -> Result<Option<Framing>, MessageError> {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let length = match lengths.next() {
+        None => None,
+        Some(first) => {
+            if lengths.any(|other| other != first) {
+                return Err(malformed("the lengths differ"));
+            }
+            let digits = first.as_bytes();
+            if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+                return Err(malformed("the length is not a number"));
+            }
+            let text = first.to_str().map_err(malformed)?;
+            Some(text.parse::<usize>().map_err(malformed)?)
+        }
+    };
+    let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
+    match (encodings.next(), encodings.next(), length) {
+        (None, _, length) => Ok(length.map(Framing::Length)),
+        (Some(only), None, None) if only.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+            Ok(Some(Framing::Chunked))
+        }
+        _ => Err(malformed("the body's length is ambiguous")),
+    }
+}
+
+pub fn malformed(reason: impl ToString) -> MessageError {
+    MessageError::Malformed(reason.to_string())
+}
+
+fn version(minor: Option<u8>) -> Version {
+    if minor == Some(0) { Version::HTTP_10 } else { Version::HTTP_11 }
+}
+
+fn header_map(headers: &[httparse::Header]) -> Result<HeaderMap, MessageError> {
+    let mut map = HeaderMap::with_capacity(headers.len());
+    for header in headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).map_err(malformed)?;
+        map.append(name, HeaderValue::from_bytes(header.value).map_err(malformed)?);
+    }
+    Ok(map)
+}
