Judge each request by its own usual time, and let those pass that can still be in time

Cause: the door and the placer took the mean over all kinds of requests for the time of each one, so that short inner calls were refused at targets that also run long reports (1,182 of 8,247 runs of booking failed for that); and requests that were late in any case held up those that were not. Ruled out: a higher rank for inner calls, which have the highest already.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -9,6 +9,15 @@
 /// Requests that wait for each slot at the most, unless the owner of the queue says otherwise.
 const QUEUED_PER_SLOT: usize = 1;
 
+/// The share of the queue that may hold requests which miss their goals. Under an overload that
+/// lasts they wait longest, so that few of them should.
+const LATE_SHARE: f64 = 0.25;
+/// The share of the time left within which a late request must be expected to end, since others
+/// may pass it.
+const LATE_TIME_SHARE: f64 = 0.6;
+/// The share of its expected time that a request must have left when its turn comes.
+const START_SHARE: f64 = 0.7;
+
 /// What becomes of a request that arrives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admit {
@@ -28,6 +37,24 @@
     pub goal_ms: u64,
     /// The rank of the request; a lower one goes first.
     pub rank: u8,
+    /// How long the request is expected to take at the target, in milliseconds; absent if only the
+    /// target's usual time is known.
+    pub service_ms: Option<f64>,
+}
+
+/// A request in the queue.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    arrival: Arrival,
+    /// Whether it will miss its goal in any case. Such a request lets those pass that need not.
+    is_late: bool,
+    service_ms: f64,
+}
+
+impl Waiting {
+    fn order(&self) -> (u8, bool) {
+        (self.arrival.rank, self.is_late)
+    }
 }
 
 /// The requests at one target.
@@ -37,7 +64,7 @@
     slots: u16,
     running: u16,
     /// In the order in which requests will run.
-    queue: VecDeque<Arrival>,
+    queue: VecDeque<Waiting>,
     queued_per_slot: usize,
     service_ms: f64,
 }
@@ -113,23 +140,40 @@
             self.running += 1;
             return Admit::Run;
         }
-        let place = self.queue.iter().take_while(|other| other.rank <= arrival.rank).count();
-        let left_ms = if self.service_ms > arrival.goal_ms.saturating_sub(now_ms) as f64 {
-            arrival.deadline_ms - now_ms
+        let service_ms = arrival.service_ms.unwrap_or(self.service_ms);
+        let goal_left_ms = arrival.goal_ms.saturating_sub(now_ms) as f64;
+        let left_ms = (arrival.deadline_ms - now_ms) as f64;
+        let in_time = Waiting { arrival, is_late: false, service_ms };
+        let late = Waiting { arrival, is_late: true, service_ms };
+        let slots = usize::from(self.slots).max(1);
+        let is_full = self.queue.len() >= slots * self.queued_per_slot;
+        let waiting = if self.wait_ms(self.place(&in_time)) + service_ms <= goal_left_ms {
+            in_time
         } else {
-            arrival.goal_ms - now_ms
+            let lates = self.queue.iter().filter(|other| other.is_late).count();
+            let lates_max = (slots * self.queued_per_slot) as f64 * LATE_SHARE;
+            let end_ms = self.wait_ms(self.place(&late)) + service_ms;
+            if lates as f64 >= lates_max || end_ms > left_ms * LATE_TIME_SHARE {
+                return Admit::Refuse(ResultCode::TargetFull);
+            }
+            late
         };
-        let is_full = self.queue.len() >= usize::from(self.slots).max(1) * self.queued_per_slot;
-        if is_full || self.wait_ms(place) + self.service_ms > left_ms as f64 {
+        if is_full {
             return Admit::Refuse(ResultCode::TargetFull);
         }
-        self.queue.insert(place, arrival);
+        self.queue.insert(self.place(&waiting), waiting);
         Admit::Queue
     }
 
+    /// How many requests would run before this one.
+    fn place(&self, waiting: &Waiting) -> usize {
+        self.queue.iter().take_while(|other| other.order() <= waiting.order()).count()
+    }
+
     /// How long a request with so many others before it waits, in milliseconds.
     fn wait_ms(&self, ahead: usize) -> f64 {
-        (ahead + 1) as f64 * self.service_ms / f64::from(self.slots.max(1))
+        let before: f64 = self.queue.iter().take(ahead).map(|other| other.service_ms).sum();
+        (before + self.service_ms) / f64::from(self.slots.max(1))
     }
 
     /// How long a request that arrives last would wait, in milliseconds.
@@ -147,17 +191,20 @@
         if self.running >= self.slots {
             return (None, expired);
         }
-        let next = self.queue.pop_front().map(|waiting| waiting.ticket);
+        let next = self.queue.pop_front().map(|waiting| waiting.arrival.ticket);
         if next.is_some() {
             self.running += 1;
         }
         (next, expired)
     }
 
-    /// Takes out the requests that waited past their deadlines.
+    /// Takes out the requests that can no longer be answered in time.
     pub fn expire(&mut self, now_ms: u64) -> Vec<u64> {
-        let is_over = |waiting: &Arrival| now_ms >= waiting.deadline_ms;
-        let expired = self.queue.iter().filter(|w| is_over(w)).map(|w| w.ticket).collect();
+        let is_over = |waiting: &Waiting| {
+            let needed_ms = (waiting.arrival.service_ms.unwrap_or(0.0) * START_SHARE) as u64;
+            now_ms + needed_ms >= waiting.arrival.deadline_ms
+        };
+        let expired = self.queue.iter().filter(|w| is_over(w)).map(|w| w.arrival.ticket).collect();
         self.queue.retain(|waiting| !is_over(waiting));
         expired
     }
@@ -165,7 +212,7 @@
     /// Takes out a request whose caller has gone. Tells whether it was still waiting.
     pub fn cancel(&mut self, ticket: u64) -> bool {
         let before = self.queue.len();
-        self.queue.retain(|waiting| waiting.ticket != ticket);
+        self.queue.retain(|waiting| waiting.arrival.ticket != ticket);
         self.queue.len() < before
     }
 }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -42,6 +42,7 @@
     StoreRecovered = 601,
     PeerRefused = 700,
     InputRefused = 701,
+    AcceptFailed = 702,
     RequestFailed = 800,
     AttemptRepeated = 801,
     HeaderDropped = 802,
--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -58,6 +58,8 @@
     /// The rank of the request; a lower one goes first.
     pub rank: u8,
     pub is_idempotent: bool,
+    /// How long such a request usually takes at a target, in milliseconds; absent if unknown.
+    pub service_ms: Option<u32>,
 }
 
 /// What became of a call.
@@ -69,6 +71,8 @@
     pub reached_target: bool,
     /// After a refusal: when the door expects to have room, in milliseconds.
     pub retry_after_ms: u32,
+    /// How long the request took at the target, in milliseconds; absent if it did not run.
+    pub service_ms: Option<u32>,
     pub load: TargetLoad,
     pub body: Bytes,
 }
--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -12,3 +12,4 @@
 pub mod readers;
 pub mod shares;
 pub mod state;
+pub mod usual;
--- a/crates/core/src/mesh/placer.rs
+++ b/crates/core/src/mesh/placer.rs
@@ -31,6 +31,14 @@
 /// Scores differ at random by this share, so that daemons with the same reports do not all choose
 /// the same target.
 const SPREAD: f64 = 0.1;
+/// The share of its slots that others may have taken at a target for each second since it last
+/// reported.
+const DRIFT_PER_S: f64 = 0.1;
+/// The bounds of how much slower than the mean of its service a target is taken to be.
+const SLOWNESS_MIN: f64 = 0.4;
+const SLOWNESS_MAX: f64 = 8.0;
+/// The share of the time left within which a late request must be expected to end.
+const LATE_TIME_SHARE: f64 = 0.6;
 /// The service time of a target that nothing is known of, in milliseconds.
 const UNKNOWN_SERVICE_MS: f64 = 20.0;
 
@@ -45,6 +53,8 @@
     pub goal_ms: u64,
     /// The time left in all, in milliseconds.
     pub left_ms: u64,
+    /// How long such a request usually takes at a target, in milliseconds; absent if unknown.
+    pub service_ms: Option<f64>,
     /// A number from 0 to 1 for each daemon's own spread of choices.
     pub random: f64,
 }
@@ -68,35 +78,59 @@
     /// When the answer is expected, in milliseconds from now.
     expected_ms: f64,
     wait_ms: f64,
-    service_ms: f64,
+    is_near: bool,
     /// The expected time with prices and risks.
     score: f64,
 }
 
+/// A target that may be chosen, before its expected time is worked out.
+struct Found {
+    choice: Choice,
+    load: TargetLoad,
+    unreported: f64,
+    distance: Distance,
+    failed_lately: bool,
+}
+
 /// Chooses among the targets of a service.
 pub fn choose(peers: &Peers, own: Option<&TargetSummary>, ask: &Ask, now_ms: u64) -> Choice {
-    let mut candidates: Vec<Candidate> = Vec::new();
+    let mut found: Vec<Found> = Vec::new();
     if let Some(target) = own
         && is_usable(target, &peers.own().name, ask)
     {
         let distance = Distance { rtt_ms: 0.0, cost_ms: 0.0 };
-        candidates.push(candidate(Choice::Own, &target.load, 0, distance, ask));
+        let (choice, load) = (Choice::Own, target.load);
+        found.push(Found { choice, load, unreported: 0.0, distance, failed_lately: false });
     }
     for peer in peers.linked() {
         let Some(target) = peer.ready_target() else { continue };
         if !is_usable(target, &peer.record.name, ask) {
             continue;
         }
-        let name = peer.record.name.clone();
-        let choice = Choice::Peer { name, target_id: target.id.clone() };
-        let unreported = peer.unreported.max(peer.outstanding.saturating_sub(target.load.running));
-        let mut found = candidate(choice, &target.load, unreported, distance(peers, peer), ask);
-        if peer.failed_lately(now_ms) {
-            found.score += LOST_CALL_MS;
-        }
-        candidates.push(found);
+        let choice = Choice::Peer { name: peer.record.name.clone(), target_id: target.id.clone() };
+        let own_unreported =
+            peer.unreported.max(peer.outstanding.saturating_sub(target.load.running));
+        let age_s = now_ms.saturating_sub(peer.heard_ms) as f64 / 1_000.0;
+        let others = age_s * DRIFT_PER_S * f64::from(target.load.slots);
+        found.push(Found {
+            choice,
+            load: target.load,
+            unreported: f64::from(own_unreported) + others,
+            distance: distance(peers, peer),
+            failed_lately: peer.failed_lately(now_ms),
+        });
+    }
+    let usual_ms = mean(found.iter().map(|found| f64::from(found.load.service_ms)));
+    pick(found.into_iter().map(|found| candidate(found, usual_ms, ask)).collect(), ask)
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> f64 {
+    let (mut sum, mut count) = (0.0, 0.0);
+    for value in values.filter(|value| *value > 0.0) {
+        sum += value;
+        count += 1.0;
     }
-    pick(candidates, ask)
+    if count > 0.0 { sum / count } else { UNKNOWN_SERVICE_MS }
 }
 
 fn pick(mut candidates: Vec<Candidate>, ask: &Ask) -> Choice {
@@ -107,21 +141,21 @@
     }
     candidates.sort_by(|a, b| a.score.total_cmp(&b.score));
     let Some(best) = candidates.first() else { return Choice::NoTarget };
-    let in_time =
-        candidates.iter().find(|candidate| candidate.expected_ms <= limit_ms(candidate, ask));
-    if let Some(chosen) = in_time {
+    let goal_ms = ask.goal_ms as f64;
+    // What will be late in any case is only tried nearby; far targets have callers of their own.
+    let late_ms = ask.left_ms as f64 * LATE_TIME_SHARE;
+    let chosen = candidates
+        .iter()
+        .find(|candidate| candidate.expected_ms <= goal_ms)
+        .or_else(|| candidates.iter().find(|c| c.is_near && c.expected_ms <= late_ms))
+        .or_else(|| candidates.iter().find(|c| c.wait_ms <= 0.0 && c.expected_ms <= late_ms));
+    if let Some(chosen) = chosen {
         return chosen.choice.clone();
     }
     let soonest_ms = candidates.iter().map(|c| c.wait_ms).fold(best.wait_ms, f64::min);
     Choice::Full { retry_after_ms: soonest_ms as u64 }
 }
 
-/// A request that can still meet its goal is not queued past it; any other has until its deadline.
-fn limit_ms(candidate: &Candidate, ask: &Ask) -> f64 {
-    let can_meet_goal = candidate.service_ms <= ask.goal_ms as f64;
-    if can_meet_goal { ask.goal_ms as f64 } else { ask.left_ms as f64 }
-}
-
 fn is_usable(target: &TargetSummary, daemon: &Arc<str>, ask: &Ask) -> bool {
     &*target.service == ask.service
         && target.state == TargetState::Ready
@@ -145,22 +179,23 @@
     }
 }
 
-fn candidate(
-    choice: Choice,
-    load: &TargetLoad,
-    unreported: u16,
-    distance: Distance,
-    ask: &Ask,
-) -> Candidate {
+/// Works out when a target would answer. Its mean over all kinds of requests tells how long others
+/// hold its slots, and how fast it is beside the rest of its service.
+fn candidate(found: Found, usual_ms: f64, ask: &Ask) -> Candidate {
+    let Found { choice, load, unreported, distance, failed_lately } = found;
     let slots = f64::from(load.slots.max(1));
-    let service_ms = f64::from(load.service_ms).max(UNKNOWN_SERVICE_MS);
-    let at_target = f64::from(load.running) + f64::from(load.waiting) + f64::from(unreported);
-    let wait_ms = (at_target + 1.0 - slots).max(0.0) * service_ms / slots;
+    let mean_ms = if load.service_ms > 0.0 { f64::from(load.service_ms) } else { usual_ms };
+    let slowness = (mean_ms / usual_ms).clamp(SLOWNESS_MIN, SLOWNESS_MAX);
+    let service_ms = ask.service_ms.unwrap_or(usual_ms) * slowness;
+    let at_target = f64::from(load.running) + f64::from(load.waiting) + unreported;
+    let wait_ms = (at_target + 1.0 - slots).max(0.0) * mean_ms / slots;
     let busy = (at_target / slots).min(1.0);
     let expected_ms = distance.rtt_ms + wait_ms + service_ms;
     let weight = if ask.is_idempotent { 1.0 } else { NOT_REPEATABLE };
     let risk_ms = f64::from(load.failed_permille) / 1_000.0 * FAILURE_MS * weight;
     let crowding_ms = service_ms * NEARLY_FULL * busy.powi(4);
-    let score = distance.cost_ms + wait_ms + service_ms + crowding_ms + risk_ms;
-    Candidate { choice, expected_ms, wait_ms, service_ms, score }
+    let lost_ms = if failed_lately { LOST_CALL_MS } else { 0.0 };
+    let score = distance.cost_ms + wait_ms + service_ms + crowding_ms + risk_ms + lost_ms;
+    let is_near = distance.cost_ms < OTHER_REGION_MS;
+    Candidate { choice, expected_ms, wait_ms, is_near, score }
 }
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -39,6 +39,7 @@
         | Event::HeartbeatRefused
         | Event::TargetUnreachable
         | Event::HeaderDropped
+        | Event::AcceptFailed
         | Event::InputRefused => log::warn!(event = number, name = name.as_str(); "{detail}"),
         _ => log::info!(event = number, name = name.as_str(); "{detail}"),
     }
--- a/crates/daemon/src/mesh/callers.rs
+++ b/crates/daemon/src/mesh/callers.rs
@@ -1,9 +1,12 @@
 //! The port where callers and the target beside this daemon send their requests.
 
 use super::{Mesh, request, sleep_ms};
+use crate::logging::log_event;
 use async_net::TcpListener;
 use bytes::Bytes;
+use futures_lite::future::or;
 use http::{Request, Response};
+use pomeloreach_core::event::Event;
 use pomeloreach_wire::h1::server::{self, ServerLimits, Service};
 use std::future::Future;
 use std::pin::Pin;
@@ -19,9 +22,19 @@
     service: S,
 ) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep_ms(ACCEPT_PAUSE_MS).await;
-            continue;
+        let stopped = async {
+            service.stopped().await;
+            None
+        };
+        let accepted = async { Some(listener.accept().await) };
+        let stream = match or(accepted, stopped).await {
+            None => return,
+            Some(Ok((stream, _))) => stream,
+            Some(Err(error)) => {
+                log_event(Event::AcceptFailed, &format!("reason={error}"));
+                sleep_ms(ACCEPT_PAUSE_MS).await;
+                continue;
+            }
         };
         let (executor, service) = (mesh.executor.clone(), service.clone());
         mesh.spawn(async move { server::serve(&executor, stream, &service).await });
@@ -57,6 +70,10 @@
     fn is_leaving(&self) -> bool {
         self.0.leaving.get()
     }
+
+    fn stopped(&self) -> impl Future<Output = ()> {
+        self.0.stopped()
+    }
 }
 
 /// Counts a request for as long as it is being answered.
--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -122,7 +122,7 @@
     }
     drop(kept);
     mesh.shares.borrow_mut().retain(|name| published.routes.contains_key(name));
-    mesh.answer_ms.borrow_mut().retain(|name, _| published.routes.contains_key(name));
+    mesh.usual.borrow_mut().retain(|name, _| published.routes.contains_key(name));
     *holder.in_force.borrow_mut() = Some(InForce { published, routes: Rc::new(routes) });
     let detail = format!("version={version} held={held_version} source={source}");
     log_event(Event::VersionApplied, &detail);
--- a/crates/daemon/src/mesh/control.rs
+++ b/crates/daemon/src/mesh/control.rs
@@ -41,7 +41,12 @@
     }
 
     fn is_leaving(&self) -> bool {
-        self.0.leaving.get()
+        false
+    }
+
+    /// Heartbeats and questions are answered to the end.
+    fn stopped(&self) -> impl Future<Output = ()> {
+        std::future::pending()
     }
 }
 
--- a/crates/daemon/src/mesh/door.rs
+++ b/crates/daemon/src/mesh/door.rs
@@ -61,6 +61,8 @@
     pub response: CallResponse,
     pub reached_target: bool,
     pub retry_after_ms: u32,
+    /// How long the request took at the target, in milliseconds; absent if it did not run.
+    pub service_ms: Option<u32>,
     pub body: Bytes,
 }
 
@@ -294,6 +296,7 @@
     };
     place.is_measured = matches!(&answered, Ok(answer) if !answer.status().is_server_error())
         || matches!(&answered, Err((ResultCode::DeadlineAfterRun, _)));
+    let service_ms = place.is_measured.then(|| (now_ms - place.since_ms) as u32);
     drop(place);
     mesh.door.state.borrow_mut().note_result(has_failed, now_ms);
     match answered {
@@ -307,7 +310,7 @@
                 in_flight: mesh.door.in_flight(),
             };
             let body = answer.into_body();
-            DoorAnswer { response, reached_target: true, retry_after_ms: 0, body }
+            DoorAnswer { response, reached_target: true, retry_after_ms: 0, service_ms, body }
         }
         Err((code, reached_target)) => refusal(mesh, code, reached_target),
     }
@@ -319,6 +322,7 @@
         response: CallResponse::refusal(code, state.admission.in_flight()),
         reached_target,
         retry_after_ms: state.admission.backlog_ms() as u32,
+        service_ms: None,
         body: Bytes::new(),
     }
 }
@@ -334,7 +338,9 @@
         state.next_ticket += 1;
         let ticket = state.next_ticket;
         let goal_ms = (now_ms + call.terms.goal_ms).min(deadline_ms);
-        let arrival = Arrival { ticket, deadline_ms, goal_ms, rank: call.terms.rank };
+        let service_ms = call.terms.service_ms.map(f64::from);
+        let rank = call.terms.rank;
+        let arrival = Arrival { ticket, deadline_ms, goal_ms, rank, service_ms };
         match state.admission.arrive(now_ms, arrival) {
             Admit::Run => return Ok(Place { mesh, since_ms: now_ms, is_measured: false }),
             Admit::Refuse(code) => return Err(code),
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -408,6 +408,7 @@
             response: answered.response,
             reached_target: answered.reached_target,
             retry_after_ms: answered.retry_after_ms,
+            service_ms: answered.service_ms,
             load: mesh.door.load(mesh.now_ms()),
             body: answered.body,
         });
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -13,6 +13,7 @@
 use crate::error::DaemonError;
 use crate::logging::log_event;
 use crate::settings::{MeshSettings, Settings};
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_net::TcpListener;
@@ -25,6 +26,7 @@
 use pomeloreach_core::mesh::peers::Peers;
 use pomeloreach_core::mesh::shares::Shares;
 use pomeloreach_core::mesh::state::{ConfigState, DaemonRecord, DaemonState, TargetSummary};
+use pomeloreach_core::mesh::usual::UsualTimes;
 use pomeloreach_wire::clock::{Clock, sleep_ms};
 use rand_chacha::ChaCha8Rng;
 use rand_core::{OsRng, RngCore, SeedableRng, TryRngCore};
@@ -37,8 +39,9 @@
 use std::time::Duration;
 
 /// How long a stopping daemon goes on serving callers that have not been sent elsewhere yet, in
-/// milliseconds: two missed readiness checks, one second apart, and a margin.
-const FAREWELL_MS: u64 = 3_000;
+/// milliseconds: two missed readiness checks, one second apart, and a margin. What is read later
+/// might not be answered within the grace period.
+const FAREWELL_MS: u64 = 2_900;
 /// What is left of the grace period when a stopping daemon ends in any case, in milliseconds.
 const GRACE_MARGIN_MS: u64 = 400;
 /// How often a stopping daemon looks whether its requests have ended, in milliseconds.
@@ -63,10 +66,12 @@
     pub config: config::Holder,
     pub shares: RefCell<Shares>,
     pub budgets: RefCell<BTreeMap<Arc<str>, RetryBudget>>,
-    /// The smoothed time of an answer by route, in milliseconds.
-    pub answer_ms: RefCell<BTreeMap<Arc<str>, f64>>,
+    /// What is known of each route's requests.
+    pub usual: RefCell<BTreeMap<Arc<str>, UsualTimes>>,
     rng: RefCell<ChaCha8Rng>,
     pub leaving: Cell<bool>,
+    /// Closed when no further requests of callers are read.
+    stop: (Sender<()>, Receiver<()>),
     /// Requests of callers that are not answered yet.
     pub in_flight: Cell<u32>,
 }
@@ -80,6 +85,14 @@
         self.executor.spawn(future).detach();
     }
 
+    /// Ends when no further requests of callers are to be read.
+    pub fn stopped(&self) -> impl Future<Output = ()> + use<> {
+        let stop = self.stop.1.clone();
+        async move {
+            stop.recv().await.ok();
+        }
+    }
+
     /// A number from 0 to 1.
     pub fn random(&self) -> f64 {
         f64::from(self.rng.borrow_mut().next_u32()) / f64::from(u32::MAX)
@@ -162,9 +175,10 @@
         config: config::Holder::default(),
         shares: RefCell::new(Shares::default()),
         budgets: RefCell::new(BTreeMap::new()),
-        answer_ms: RefCell::new(BTreeMap::new()),
+        usual: RefCell::new(BTreeMap::new()),
         rng: RefCell::new(rng),
         leaving: Cell::new(false),
+        stop: async_channel::bounded(1),
         in_flight: Cell::new(0),
         own,
         settings,
@@ -240,6 +254,9 @@
     }
     loop {
         let now_ms = mesh.now_ms();
+        if now_ms >= began_ms + FAREWELL_MS {
+            mesh.stop.0.close();
+        }
         let is_idle = mesh.in_flight.get() == 0 && mesh.door.in_flight() == 0;
         if now_ms >= end_ms || (is_idle && now_ms >= began_ms + FAREWELL_MS) {
             break;
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -16,6 +16,7 @@
 use pomeloreach_core::matching::MatchedRoute;
 use pomeloreach_core::mesh::message::{Call, CallTerms};
 use pomeloreach_core::mesh::placer::{self, Ask, Choice};
+use pomeloreach_core::mesh::usual::UsualTimes;
 use pomeloreach_platform::headers;
 use pomeloreach_wire::clock::within_ms;
 use std::collections::BTreeSet;
@@ -37,8 +38,6 @@
 const STALLED_SHARE_UNKNOWN: f64 = 0.5;
 /// The usual times that a further attempt must have left.
 const RETRY_TIMES: f64 = 1.5;
-/// The weight of a new answer in the usual time of its route.
-const ANSWER_SHARE: f64 = 0.1;
 /// The shortest time after which a refused caller is asked to come back, in milliseconds.
 const RETRY_AFTER_MS_MIN: u64 = 40;
 /// The time after which a caller is asked to come back when no target is known, in milliseconds.
@@ -102,6 +101,7 @@
                 body: answer.body,
                 reached_target: answer.reached_target,
                 retry_after_ms: answer.retry_after_ms.into(),
+                service_ms: answer.service_ms,
             },
             Err(_) => Attempt::failed(ResultCode::AnswerLost, true),
         }
@@ -129,6 +129,7 @@
             body: answer.body,
             reached_target: answer.reached_target,
             retry_after_ms: answer.retry_after_ms.into(),
+            service_ms: answer.service_ms,
         }
     }
 }
@@ -139,12 +140,13 @@
     body: Bytes,
     reached_target: bool,
     retry_after_ms: u64,
+    service_ms: Option<u32>,
 }
 
 impl Attempt {
     fn failed(code: ResultCode, reached_target: bool) -> Self {
         let response = CallResponse::refusal(code, 0);
-        Self { response, body: Bytes::new(), reached_target, retry_after_ms: 0 }
+        Self { response, body: Bytes::new(), reached_target, retry_after_ms: 0, service_ms: None }
     }
 }
 
@@ -285,6 +287,7 @@
             goal_ms: self.goal_ms.saturating_sub(now_ms),
             rank: self.route.route.priority,
             is_idempotent: self.route.route.idempotent,
+            service_ms: self.usual().service_ms.map(|ms| ms as u32),
         };
         let (body, request_id) = (self.body.clone(), self.request_id.clone());
         Job { mesh: self.mesh.clone(), peer, request, terms, body, request_id }
@@ -314,6 +317,7 @@
             is_idempotent: self.route.route.idempotent,
             goal_ms: self.goal_ms.saturating_sub(now_ms),
             left_ms: self.deadline_ms - now_ms,
+            service_ms: self.usual().service_ms,
             random: self.mesh.random(),
         };
         let own = self.mesh.target_summary();
@@ -323,7 +327,7 @@
     /// How long an attempt may take before another target is asked.
     fn patience_ms(&self, left_ms: u64) -> u64 {
         let left = left_ms as f64;
-        let usual_ms = self.mesh.answer_ms.borrow().get(&self.route.name).copied();
+        let usual_ms = self.usual().answer_ms;
         let patience_ms = match usual_ms {
             None => left * STALLED_SHARE_UNKNOWN,
             Some(usual_ms) => {
@@ -338,6 +342,9 @@
     fn take(&mut self, attempt: Attempt) -> Option<Result<Reply, ResultCode>> {
         let code = attempt.response.code;
         self.reached += usize::from(attempt.reached_target);
+        if let Some(service_ms) = attempt.service_ms {
+            self.note(|usual| usual.note_service(service_ms.into()));
+        }
         self.retry_after_ms = self.retry_after_ms.max(attempt.retry_after_ms);
         let goes_on = self.running > 0 || self.may_repeat();
         match code.outcome() {
@@ -428,7 +435,7 @@
         match ended {
             Ok(reply) => {
                 if reply.response.http_status < 500 {
-                    self.note_time(took_ms);
+                    self.note(|usual| usual.note_answer(took_ms as f64));
                 }
                 pass_on(reply)
             }
@@ -451,10 +458,12 @@
         }
     }
 
-    fn note_time(&self, took_ms: u64) {
-        let mut times = self.mesh.answer_ms.borrow_mut();
-        let usual_ms = times.entry(self.route.name.clone()).or_insert(took_ms as f64);
-        *usual_ms += (took_ms as f64 - *usual_ms) * ANSWER_SHARE;
+    fn usual(&self) -> UsualTimes {
+        self.mesh.usual.borrow().get(&self.route.name).copied().unwrap_or_default()
+    }
+
+    fn note(&self, note: impl FnOnce(&mut UsualTimes)) {
+        note(self.mesh.usual.borrow_mut().entry(self.route.name.clone()).or_default());
     }
 }
 
--- a/crates/wire/src/h1/server.rs
+++ b/crates/wire/src/h1/server.rs
@@ -8,7 +8,7 @@
 use async_net::TcpStream;
 use bytes::Bytes;
 use futures_lite::AsyncWriteExt;
-use futures_lite::future::or;
+use futures_lite::future::{or, pending};
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT};
 use http::{Method, Request, Response, StatusCode, Version};
 use std::cell::Cell;
@@ -39,6 +39,9 @@
 
     /// Whether connections are to be closed with their next answer.
     fn is_leaving(&self) -> bool;
+
+    /// Ends when no further requests are to be read.
+    fn stopped(&self) -> impl Future<Output = ()>;
 }
 
 /// A request that was read, in the order of the answers.
@@ -52,6 +55,8 @@
 enum End {
     /// The client closed the connection or broke the protocol's flow.
     Gone,
+    /// The service takes no more requests.
+    Stopped,
     /// What it sent can only be refused.
     Refused(StatusCode),
 }
@@ -70,6 +75,9 @@
             Reading { reader: Reader::new(stream.clone()), executor, service, slots, open: &open };
         match reading.run().await {
             End::Gone => {}
+            // The writing half ends the connection with the last answer.
+            End::Stopped if open.get() > 0 => pending().await,
+            End::Stopped => {}
             End::Refused(status) => reading.refuse(status).await,
         }
     };
@@ -90,9 +98,17 @@
     async fn run(&mut self) -> End {
         loop {
             let limits = self.service.limits();
-            let head = match self.head(&limits).await {
+            let stopped = async {
+                self.service.stopped().await;
+                Err(End::Stopped)
+            };
+            let reading = async {
+                let read = read_head(&mut self.reader, &limits, self.open).await;
+                read.map_err(|error| end_of(&error))
+            };
+            let head = match or(reading, stopped).await {
                 Ok(head) => head,
-                Err(error) => return end_of(&error),
+                Err(end) => return end,
             };
             let framing = match declared_framing(head.headers()) {
                 Ok(framing) => framing.unwrap_or(Framing::Length(0)),
@@ -138,24 +154,6 @@
         None
     }
 
-    async fn head(&mut self, limits: &ServerLimits) -> Result<Request<()>, MessageError> {
-        loop {
-            if let Some(head) = self.reader.request_head(limits.header_bytes_max)? {
-                return Ok(head);
-            }
-            let is_begun = self.reader.has_bytes();
-            let wait_ms = if is_begun { limits.header_timeout_ms } else { limits.idle_timeout_ms };
-            match within_ms(wait_ms, self.reader.fill()).await {
-                Some(Ok(true)) => {}
-                Some(Ok(false)) => return Err(MessageError::Ended),
-                Some(Err(error)) => return Err(error),
-                None if is_begun => return Err(MessageError::TimedOut),
-                None if self.open.get() > 0 => {}
-                None => return Err(MessageError::Ended),
-            }
-        }
-    }
-
     /// Answers what cannot be served, after all answers before it.
     async fn refuse(&mut self, status: StatusCode) {
         let mut response = Response::new(Bytes::new());
@@ -169,6 +167,29 @@
     }
 }
 
+/// Reads the next head. While answers are being made, an idle connection stays open.
+async fn read_head(
+    reader: &mut Reader,
+    limits: &ServerLimits,
+    open: &Cell<usize>,
+) -> Result<Request<()>, MessageError> {
+    loop {
+        if let Some(head) = reader.request_head(limits.header_bytes_max)? {
+            return Ok(head);
+        }
+        let is_begun = reader.has_bytes();
+        let wait_ms = if is_begun { limits.header_timeout_ms } else { limits.idle_timeout_ms };
+        match within_ms(wait_ms, reader.fill()).await {
+            Some(Ok(true)) => {}
+            Some(Ok(false)) => return Err(MessageError::Ended),
+            Some(Err(error)) => return Err(error),
+            None if is_begun => return Err(MessageError::TimedOut),
+            None if open.get() > 0 => {}
+            None => return Err(MessageError::Ended),
+        }
+    }
+}
+
 /// How often a request that waits for earlier answers looks for them, in milliseconds.
 const ANSWERS_LOOK_MS: u64 = 5;
 
