--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -18,6 +18,9 @@
 /// The share of its expected time that a request must have left when its turn comes.
 const START_SHARE: f64 = 0.7;
 
+/// Ranks that a load report tells apart; all beyond count as the last one.
+pub const RANKS: usize = 4;
+
 /// What becomes of a request that arrives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admit {
@@ -110,6 +113,17 @@
         self.in_flight() - self.running
     }
 
+    /// How many waiting requests would run before one of each rank that can be in time.
+    pub fn ahead(&self) -> [u8; RANKS] {
+        std::array::from_fn(|rank| {
+            let is_last = rank + 1 == RANKS;
+            let before = self.queue.iter().filter(|other| {
+                is_last || (usize::from(other.arrival.rank), other.is_late) <= (rank, false)
+            });
+            u8::try_from(before.count()).unwrap_or(u8::MAX)
+        })
+    }
+
     /// The smoothed time that a request takes at the target, in milliseconds.
     pub fn service_ms(&self) -> f64 {
         self.service_ms
--- a/crates/core/src/mesh/placer.rs
+++ b/crates/core/src/mesh/placer.rs
@@ -49,6 +49,8 @@
     /// Daemons whose targets were tried already.
     pub tried: &'a BTreeSet<Arc<str>>,
     pub is_idempotent: bool,
+    /// The rank of the request; a lower one goes first.
+    pub rank: u8,
     /// The time left until the caller's latency goal, in milliseconds.
     pub goal_ms: u64,
     /// The time left in all, in milliseconds.
@@ -77,6 +79,8 @@
     choice: Choice,
     /// When the answer is expected, in milliseconds from now.
     expected_ms: f64,
+    /// The same if all that wait go first.
+    late_ms: f64,
     wait_ms: f64,
     is_near: bool,
     /// The expected time with prices and risks.
@@ -147,8 +151,8 @@
     let chosen = candidates
         .iter()
         .find(|candidate| candidate.expected_ms <= goal_ms)
-        .or_else(|| candidates.iter().find(|c| c.is_near && c.expected_ms <= late_ms))
-        .or_else(|| candidates.iter().find(|c| c.wait_ms <= 0.0 && c.expected_ms <= late_ms));
+        .or_else(|| candidates.iter().find(|c| c.is_near && c.late_ms <= late_ms))
+        .or_else(|| candidates.iter().find(|c| c.wait_ms <= 0.0 && c.late_ms <= late_ms));
     if let Some(chosen) = chosen {
         return chosen.choice.clone();
     }
@@ -187,15 +191,18 @@
     let mean_ms = if load.service_ms > 0.0 { f64::from(load.service_ms) } else { usual_ms };
     let slowness = (mean_ms / usual_ms).clamp(SLOWNESS_MIN, SLOWNESS_MAX);
     let service_ms = ask.service_ms.unwrap_or(usual_ms) * slowness;
-    let at_target = f64::from(load.running) + f64::from(load.waiting) + unreported;
-    let wait_ms = (at_target + 1.0 - slots).max(0.0) * mean_ms / slots;
+    let at_target = f64::from(load.before(ask.rank)) + unreported;
+    let all = f64::from(load.running) + f64::from(load.waiting) + unreported;
+    let wait_for = |before: f64| (before + 1.0 - slots).max(0.0) * mean_ms / slots;
+    let wait_ms = wait_for(at_target);
     let busy = (at_target / slots).min(1.0);
     let expected_ms = distance.rtt_ms + wait_ms + service_ms;
+    let late_ms = distance.rtt_ms + wait_for(all) + service_ms;
     let weight = if ask.is_idempotent { 1.0 } else { NOT_REPEATABLE };
     let risk_ms = f64::from(load.failed_permille) / 1_000.0 * FAILURE_MS * weight;
     let crowding_ms = service_ms * NEARLY_FULL * busy.powi(4);
     let lost_ms = if failed_lately { LOST_CALL_MS } else { 0.0 };
     let score = distance.cost_ms + wait_ms + service_ms + crowding_ms + risk_ms + lost_ms;
     let is_near = distance.cost_ms < OTHER_REGION_MS;
-    Candidate { choice, expected_ms, wait_ms, is_near, score }
+    Candidate { choice, expected_ms, late_ms, wait_ms, is_near, score }
 }
--- a/crates/core/src/mesh/state.rs
+++ b/crates/core/src/mesh/state.rs
@@ -1,5 +1,6 @@
 //! What a daemon tells its peers of itself and of the target beside it.
 
+use crate::admission::RANKS;
 use crate::endpoint::TargetState;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -22,6 +23,8 @@
 pub struct TargetLoad {
     pub running: u16,
     pub waiting: u16,
+    /// Waiting requests that would run before one of each rank that can be in time.
+    pub ahead: [u8; RANKS],
     pub slots: u16,
     /// The smoothed time of a request at the target, in milliseconds.
     pub service_ms: f32,
@@ -29,6 +32,14 @@
     pub failed_permille: u16,
 }
 
+impl TargetLoad {
+    /// Requests that hold slots or would run before one of this rank.
+    pub fn before(&self, rank: u8) -> u16 {
+        let waiting = self.ahead[usize::from(rank).min(RANKS - 1)];
+        self.running.saturating_add(waiting.into())
+    }
+}
+
 /// The target beside a daemon.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetSummary {
--- a/crates/daemon/src/mesh/door.rs
+++ b/crates/daemon/src/mesh/door.rs
@@ -120,6 +120,7 @@
         TargetLoad {
             running: admission.running(),
             waiting: admission.waiting(),
+            ahead: admission.ahead(),
             slots: admission.slots(),
             service_ms: service_ms as f32,
             failed_permille: (state.failed_share(now_ms) * 1_000.0) as u16,
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -315,6 +315,7 @@
             service: &self.service,
             tried: &self.tried,
             is_idempotent: self.route.route.idempotent,
+            rank: self.route.route.priority,
             goal_ms: self.goal_ms.saturating_sub(now_ms),
             left_ms: self.deadline_ms - now_ms,
             service_ms: self.usual().service_ms,
@@ -442,10 +443,11 @@
             Err(code) => {
                 let left_ms = self.deadline_ms.saturating_sub(self.mesh.now_ms());
                 let detail = format!(
-                    "request={} route={} service={} code={code} tried={} reached={} took_ms={took_ms} \
+                    "request={} route={} rank={} service={} code={code} tried={} reached={} took_ms={took_ms} \
                      left_ms={left_ms} retry_after_ms={}",
                     self.request_id,
                     self.route.name,
+                    self.route.route.priority,
                     self.service,
                     self.tried.len(),
                     self.reached,
