--- a/crates/core/src/mesh/peers.rs
+++ b/crates/core/src/mesh/peers.rs
@@ -96,6 +96,18 @@
         self.peers.values().filter(|peer| peer.is_linked)
     }
 
+    /// Whether a peer stands in this daemon's region.
+    pub fn is_near(&self, name: &str) -> bool {
+        self.peers.get(name).is_some_and(|peer| peer.record.region == self.own.region)
+    }
+
+    /// Whether no linked daemon of this region has a smaller name.
+    pub fn is_first_of_region(&self) -> bool {
+        !self
+            .linked()
+            .any(|peer| peer.record.region == self.own.region && peer.record.name < self.own.name)
+    }
+
     /// Every record, also this daemon's own.
     pub fn records(&self) -> Vec<DaemonRecord> {
         let others = self.peers.values().map(|peer| peer.record.clone());
--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 
 /// Versions that are kept, so that peers get the rows that changed since theirs.
-const VERSIONS_KEPT: usize = 6;
+const VERSIONS_KEPT: usize = 4;
 /// How long the store holds a watch open, in milliseconds. Its answer confirms the version, so that
 /// this bounds the age of what a daemon knows.
 const WATCH_MS: u64 = 800;
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -26,8 +26,9 @@
 
 /// The largest message, in bytes: a body with its head.
 const MESSAGE_BYTES_MAX: usize = 20 * 1024 * 1024;
-/// Messages that may wait on a link; a link that is slower is closed.
-const WAITING_MAX: usize = 8_192;
+/// Messages that may wait on a link; calls beyond are refused. The queue's memory is taken when the
+/// link opens.
+const WAITING_MAX: usize = 512;
 /// How long opening a link may take, in milliseconds.
 const OPEN_MS: u64 = 1_000;
 /// How often due peers are dialled, in milliseconds.
@@ -76,6 +77,8 @@
     next_accepted: Cell<u64>,
     next_call: Cell<u64>,
     asked_config_ms: Cell<Option<u64>>,
+    /// Since when a peer has been known to hold a newer version.
+    behind_since_ms: Cell<Option<u64>>,
     changed: Notify,
 }
 
@@ -280,18 +283,31 @@
     Ok(())
 }
 
+/// How long a daemon waits for a peer of its own region to have a newer version, in milliseconds.
+const NEAR_FIRST_MS: u64 = 450;
 /// How long an answer with rows may take before another peer is asked, in milliseconds.
 const ASK_MS: u64 = 400;
 
+/// Asks a peer for a newer version. One daemon of each region asks far peers at once, and the
+/// others get the version from it, so that it crosses each link between regions about once.
 fn ask_config(mesh: &Rc<Mesh>, peer: &str, state: &DaemonState) {
+    let links = &mesh.links;
     let held_version = mesh.config.version();
     let now_ms = mesh.now_ms();
-    let is_asking = mesh.links.asked_config_ms.get().is_some_and(|ms| now_ms < ms + ASK_MS);
-    if state.config.version <= held_version || is_asking {
+    if state.config.version <= held_version {
+        return links.behind_since_ms.set(None);
+    }
+    let behind_since_ms = links.behind_since_ms.get().unwrap_or(now_ms);
+    links.behind_since_ms.set(Some(behind_since_ms));
+    let is_asking = links.asked_config_ms.get().is_some_and(|ms| now_ms < ms + ASK_MS);
+    let may_ask = mesh.peers.borrow().is_near(peer)
+        || mesh.peers.borrow().is_first_of_region()
+        || now_ms >= behind_since_ms + NEAR_FIRST_MS;
+    if is_asking || !may_ask {
         return;
     }
-    mesh.links.asked_config_ms.set(Some(now_ms));
-    mesh.links.send(peer, &LinkMessage::AskConfig { held_version });
+    links.asked_config_ms.set(Some(now_ms));
+    links.send(peer, &LinkMessage::AskConfig { held_version });
 }
 
 /// Writes what is queued, as much as there is at once.
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -211,7 +211,7 @@
     /// Makes attempts until one answers or no other can. An attempt that stalls goes on beside the
     /// next one, so that nothing that still may come is given up.
     async fn run(&mut self) -> Result<Reply, ResultCode> {
-        let (results, ended) = async_channel::unbounded();
+        let (results, ended) = async_channel::bounded(DOORS_MAX);
         // Dropping a task cancels its attempt.
         let mut tasks: Vec<Task<()>> = Vec::new();
         loop {
--- a/crates/wire/src/h1/reader.rs
+++ b/crates/wire/src/h1/reader.rs
@@ -11,7 +11,7 @@
 /// Headers in one message.
 const HEADERS_MAX: usize = 128;
 /// Bytes that are read at once.
-const READ_BYTES: usize = 16 * 1024;
+const READ_BYTES: usize = 4 * 1024;
 /// Bytes of a chunk's size line and of a trailer section.
 const CHUNK_LINE_BYTES_MAX: usize = 4 * 1024;
 
