--- /dev/null
+++ b/crates/core/tests/door_queue.rs
@@ -0,0 +1,128 @@
+//! How requests wait at a target's door under overload.
+
+use pomeloreach_core::admission::{Admission, Admit, Arrival};
+use pomeloreach_core::code::ResultCode;
+use pomeloreach_core::endpoint::TargetState;
+
+const SLOTS: u16 = 2;
+
+fn arrival(ticket: u64, rank: u8, goal_ms: u64, deadline_ms: u64, service_ms: f64) -> Arrival {
+    Arrival { ticket, deadline_ms, goal_ms, rank, service_ms: Some(service_ms) }
+}
+
+/// A door whose slots are taken by requests that take 100 ms each.
+fn full_door() -> Admission {
+    let mut door = Admission::with_queue(4);
+    door.announce(TargetState::Ready, SLOTS);
+    for round in 0..100 {
+        let admitted = door.arrive(round, arrival(round, 0, round + 500, round + 1_000, 100.0));
+        assert_eq!(admitted, Admit::Run);
+        door.finish(round, 100);
+    }
+    for ticket in 1_000..1_000 + u64::from(SLOTS) {
+        assert_eq!(door.arrive(0, arrival(ticket, 0, 500, 1_000, 100.0)), Admit::Run);
+    }
+    door
+}
+
+/// The tickets in the order in which they run.
+fn order(mut door: Admission) -> Vec<u64> {
+    let mut tickets = Vec::new();
+    while let (Some(ticket), _) = door.finish(1, 100) {
+        tickets.push(ticket);
+    }
+    tickets
+}
+
+#[test]
+fn urgent_first() {
+    let mut door = full_door();
+    assert_eq!(door.arrive(0, arrival(1, 2, 500, 1_000, 50.0)), Admit::Queue);
+    assert_eq!(door.arrive(0, arrival(2, 1, 500, 1_000, 50.0)), Admit::Queue);
+    assert_eq!(door.arrive(0, arrival(3, 2, 500, 1_000, 50.0)), Admit::Queue);
+    assert_eq!(door.ahead(), [0, 1, 3, 3]);
+    assert_eq!(order(door), [2, 1, 3]);
+}
+
+#[test]
+fn late_lets_pass() {
+    let mut door = full_door();
+    assert_eq!(door.arrive(0, arrival(1, 1, 60, 1_000, 50.0)), Admit::Queue, "late, but in time");
+    assert_eq!(door.arrive(0, arrival(2, 1, 500, 1_000, 50.0)), Admit::Queue);
+    assert_eq!(door.ahead(), [0, 1, 2, 2]);
+    assert_eq!(order(door), [2, 1]);
+}
+
+#[test]
+fn hopeless_is_refused() {
+    let mut door = full_door();
+    let hopeless = arrival(1, 1, 60, 120, 100.0);
+    assert_eq!(door.arrive(0, hopeless), Admit::Refuse(ResultCode::TargetFull));
+}
+
+#[test]
+fn late_have_a_share() {
+    let mut door = full_door();
+    let admitted = (0..8)
+        .filter(|ticket| door.arrive(0, arrival(*ticket, 1, 10, 10_000, 50.0)) == Admit::Queue)
+        .count();
+    assert_eq!(admitted, 2, "a quarter of eight places");
+    assert_eq!(door.arrive(0, arrival(9, 1, 5_000, 10_000, 50.0)), Admit::Queue);
+}
+
+/// Long requests wait, and a short one of the same rank is judged by its own time.
+#[test]
+fn short_beside_long() {
+    let mut door = full_door();
+    for ticket in 0..3 {
+        assert_eq!(door.arrive(0, arrival(ticket, 2, 2_000, 5_000, 400.0)), Admit::Queue);
+    }
+    assert_eq!(door.arrive(0, arrival(9, 1, 150, 450, 40.0)), Admit::Queue);
+    assert_eq!(order(door)[0], 9);
+}
+
+#[test]
+fn expires_before_its_turn() {
+    let mut door = full_door();
+    assert_eq!(door.arrive(0, arrival(1, 1, 400, 450, 100.0)), Admit::Queue);
+    assert!(door.expire(300).is_empty());
+    assert_eq!(door.expire(385), [1], "70 ms are not left");
+    assert_eq!(order(door), [] as [u64; 0]);
+}
+
+/// At twice the capacity nearly all answers are in time, since what cannot be is refused.
+#[test]
+fn overload_stays_in_time() {
+    let mut door = Admission::with_queue(4);
+    door.announce(TargetState::Ready, 10);
+    // Each request takes 100 ms, so that 100 a second fit; 200 a second arrive for 20 s.
+    let mut ends: Vec<(u64, u64)> = Vec::new();
+    let mut arrived_ms = std::collections::BTreeMap::new();
+    let (mut in_time, mut late, mut refused) = (0, 0, 0);
+    for now_ms in 0..20_000 {
+        let over: Vec<(u64, u64)> =
+            ends.iter().filter(|(end, _)| *end <= now_ms).copied().collect();
+        ends.retain(|(end, _)| *end > now_ms);
+        for (_, ticket) in over {
+            if now_ms - arrived_ms[&ticket] <= 300 {
+                in_time += 1
+            } else {
+                late += 1
+            }
+            if let (Some(next), _) = door.finish(now_ms, 100) {
+                ends.push((now_ms + 100, next));
+            }
+        }
+        if now_ms % 5 == 0 {
+            arrived_ms.insert(now_ms, now_ms);
+            let arrival = arrival(now_ms, 1, now_ms + 300, now_ms + 1_200, 100.0);
+            match door.arrive(now_ms, arrival) {
+                Admit::Run => ends.push((now_ms + 100, now_ms)),
+                Admit::Queue => {}
+                Admit::Refuse(_) => refused += 1,
+            }
+        }
+    }
+    assert!(in_time + late >= 1_900, "the slots stay busy: {in_time} + {late}");
+    assert!(in_time >= 1_800, "{in_time} in time, {late} late, {refused} refused");
+}
--- /dev/null
+++ b/crates/core/tests/mesh_config.rs
@@ -0,0 +1,162 @@
+//! How a published configuration is checked, handed on and read.
+
+use pomeloreach_core::code::ResultCode;
+use pomeloreach_core::endpoint::TargetState;
+use pomeloreach_core::mesh::delta::Delta;
+use pomeloreach_core::mesh::peers::Peers;
+use pomeloreach_core::mesh::published::Published;
+use pomeloreach_core::mesh::readers::should_read;
+use pomeloreach_core::mesh::shares::Shares;
+use pomeloreach_core::mesh::state::{
+    ConfigState, DaemonRecord, DaemonState, TargetLoad, TargetSummary,
+};
+use pomeloreach_core::row::{Pool, Route};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+fn route(path_prefix: &str, pools: &[(&str, u32)]) -> Route {
+    let weights: BTreeMap<Arc<str>, u32> =
+        pools.iter().map(|(pool, weight)| ((*pool).into(), *weight)).collect();
+    Route {
+        host: "shop.example".into(),
+        path_prefix: path_prefix.into(),
+        methods: Default::default(),
+        pool: pools[0].0.into(),
+        idempotent: true,
+        deadline_ms: 1_000,
+        weights: if pools.len() > 1 { weights } else { BTreeMap::new() },
+        target_latency_ms: Some(300),
+        priority: 1,
+        attempts_max: Some(2),
+    }
+}
+
+fn published(version: u64, routes: &[(&str, Route)], pools: &[&str]) -> Published {
+    Published {
+        version,
+        routes: routes.iter().map(|(name, route)| ((*name).into(), route.clone())).collect(),
+        pools: pools.iter().map(|name| ((*name).into(), Pool::of((*name).into()))).collect(),
+        ..Published::default()
+    }
+}
+
+#[test]
+fn changes_lead_to_the_same() {
+    let base = published(3, &[("a", route("/a/", &[("x", 1)]))], &["x", "y"]);
+    let next = published(
+        7,
+        &[("a", route("/a/", &[("y", 1)])), ("b", route("/b/", &[("x", 9), ("y", 1)]))],
+        &["x", "y"],
+    );
+    let delta = Delta::between(&base, &next);
+    assert_eq!(delta.routes.len(), 2);
+    assert!(delta.pools.is_empty());
+    assert_eq!(delta.apply(&base), Some(next.clone()));
+    let json = serde_json::to_vec(&delta).unwrap();
+    let decoded: Delta = serde_json::from_slice(&json).unwrap();
+    assert_eq!(decoded, delta);
+    let all = Delta::between(&Published::default(), &next);
+    assert_eq!(all.apply(&Published::default()), Some(next));
+}
+
+#[test]
+fn changes_need_their_base() {
+    let base = published(3, &[("a", route("/a/", &[("x", 1)]))], &["x"]);
+    let other = published(3, &[("c", route("/c/", &[("x", 1)]))], &["x"]);
+    let next = published(4, &[("b", route("/b/", &[("x", 1)]))], &["x"]);
+    let delta = Delta::between(&base, &next);
+    assert_eq!(delta.apply(&next), None, "another version");
+    assert_eq!(delta.apply(&other), None, "the same number for other rows");
+}
+
+#[yare::parameterized(
+    pool_missing = { &[("x", 1), ("gone", 1)], ResultCode::VersionPoolMissing },
+    no_weight = { &[("x", 0), ("y", 0)], ResultCode::VersionRowOutOfBounds },
+)]
+fn bad_version_is_refused(pools: &[(&str, u32)], code: ResultCode) {
+    let bad = published(1, &[("a", route("/a/", pools))], &["x", "y"]);
+    assert_eq!(bad.index().unwrap_err().code, code);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Over any span of requests each pool is within one request of its share.
+    #[test]
+    fn shares_are_exact(weights in prop::collection::vec(1_u32..100, 2..5), from in 0_usize..50, span in 1_usize..200) {
+        let names = ["p0", "p1", "p2", "p3"];
+        let parts: Vec<(&str, u32)> =
+            names.iter().zip(&weights).map(|(name, weight)| (*name, *weight)).collect();
+        let table = published(1, &[("a", route("/a/", &parts))], &names).index().unwrap();
+        let matched = table.find("shop.example", "/a/1", "GET").unwrap();
+        let mut shares = Shares::default();
+        let chosen: Vec<Arc<str>> =
+            (0..from + span).map(|_| shares.next(matched).pool.service.clone()).collect();
+        let total: u32 = weights.iter().sum();
+        for (name, weight) in &parts {
+            let got = chosen[from..].iter().filter(|service| &***service == *name).count() as f64;
+            let owed = span as f64 * f64::from(*weight) / f64::from(total);
+            prop_assert!((got - owed).abs() <= 2.0, "{name}: {got} of {owed}");
+        }
+    }
+}
+
+/// Five daemons; the first three are near to the store.
+fn fleet(own: usize, ages_ms: [Option<u32>; 5]) -> (Peers, ConfigState) {
+    let rtt = |index: usize| Some(if index < 3 { 8 } else { 70 });
+    let config = |index: usize| ConfigState {
+        version: 5,
+        confirmed_age_ms: ages_ms[index],
+        store_rtt_ms: rtt(index),
+    };
+    let record = |index: usize| DaemonRecord {
+        name: format!("d{index}").into(),
+        start_id: 1,
+        region: "a".into(),
+        zone: "a1".into(),
+        link_addr: "127.0.0.1:1".parse().unwrap(),
+    };
+    let mut peers = Peers::new(record(own));
+    for index in (0..5).filter(|index| *index != own) {
+        let name = format!("d{index}");
+        peers.learn(record(index), true, 0);
+        let target = TargetSummary {
+            id: "t".into(),
+            service: "s".into(),
+            state: TargetState::Ready,
+            load: TargetLoad::default(),
+        };
+        let state = DaemonState { leaving: false, target: Some(target), config: config(index) };
+        peers.linked_up(&name, state, 0);
+    }
+    (peers, config(own))
+}
+
+#[yare::parameterized(
+    first_reads = { 0, [Some(10), Some(10), None, None, None], 0, true },
+    second_reads = { 1, [Some(10), Some(10), None, None, None], 0, true },
+    third_waits = { 2, [Some(10), Some(10), None, None, None], 0, false },
+    far_waits = { 4, [Some(10), Some(10), None, None, None], 0, false },
+    fresh_for_a_while = { 4, [Some(10), Some(10), None, None, None], 900, false },
+    readers_silent = { 4, [Some(10), Some(10), None, None, None], 1_500, true },
+    readers_cut_from_store = { 2, [Some(1_300), Some(1_400), None, None, None], 0, true },
+    one_reader_left = { 3, [Some(9_000), Some(10), None, None, None], 0, false },
+)]
+fn readers_are_few(own: usize, ages_ms: [Option<u32>; 5], now_ms: u64, expected: bool) {
+    let (peers, config) = fleet(own, ages_ms);
+    assert_eq!(should_read(&peers, config, now_ms), expected);
+}
+
+/// Daemons that lose their readers do not all read at the same moment.
+#[test]
+fn readers_are_staggered() {
+    let begins: Vec<u64> = (2..5)
+        .map(|own| {
+            let (peers, config) = fleet(own, [Some(0), Some(0), None, None, None]);
+            (0..5_000).find(|now_ms| should_read(&peers, config, *now_ms)).unwrap()
+        })
+        .collect();
+    assert!(begins.windows(2).all(|pair| pair[0] < pair[1]), "{begins:?}");
+    assert!(begins.iter().all(|begin| *begin < 1_600), "in force within 2,500 ms: {begins:?}");
+}
