--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -38,10 +38,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How long a stopping daemon goes on serving callers that have not been sent elsewhere yet, in
-/// milliseconds: two missed readiness checks, one second apart, and a margin. What is read later
-/// might not be answered within the grace period.
-const FAREWELL_MS: u64 = 2_900;
+/// How long a stopping daemon goes on serving as before, in milliseconds: until callers are sent
+/// elsewhere after two missed readiness checks, one second apart. What is read later might not be
+/// answered within the grace period.
+const FAREWELL_MS: u64 = 2_300;
+/// How long calls of peers may be on their way after they were told to send none, in milliseconds.
+const LAST_CALLS_MS: u64 = 250;
 /// What is left of the grace period when a stopping daemon ends in any case, in milliseconds.
 const GRACE_MARGIN_MS: u64 = 400;
 /// How often a stopping daemon looks whether its requests have ended, in milliseconds.
@@ -70,6 +72,8 @@
     pub usual: RefCell<BTreeMap<Arc<str>, UsualTimes>>,
     rng: RefCell<ChaCha8Rng>,
     pub leaving: Cell<bool>,
+    /// Whether peers are to send no more calls.
+    pub closing: Cell<bool>,
     /// Closed when no further requests of callers are read.
     stop: (Sender<()>, Receiver<()>),
     /// Requests of callers that are not answered yet.
@@ -121,7 +125,7 @@
 
     pub fn state(&self) -> DaemonState {
         DaemonState {
-            leaving: self.leaving.get(),
+            leaving: self.closing.get(),
             target: self.target_summary(),
             config: self.config_state(),
         }
@@ -178,6 +182,7 @@
         usual: RefCell::new(BTreeMap::new()),
         rng: RefCell::new(rng),
         leaving: Cell::new(false),
+        closing: Cell::new(false),
         stop: async_channel::bounded(1),
         in_flight: Cell::new(0),
         own,
@@ -240,11 +245,10 @@
     }
 }
 
-/// Tells everybody, serves the callers that are not sent elsewhere yet, and lets what is in flight
-/// end.
+/// Serves on until callers are sent elsewhere, then takes no more requests and lets what is in
+/// flight end. The target beside this daemon is of use to peers until then.
 async fn drain(mesh: &Rc<Mesh>) {
     mesh.leaving.set(true);
-    mesh.links.report_now();
     log_event(Event::DaemonDraining, &format!("in_flight={}", mesh.in_flight.get()));
     let began_ms = mesh.now_ms();
     let grace_ms = mesh.mesh_settings.borrow().grace_ms;
@@ -254,11 +258,12 @@
     }
     loop {
         let now_ms = mesh.now_ms();
-        if now_ms >= began_ms + FAREWELL_MS {
+        if now_ms >= began_ms + FAREWELL_MS && !mesh.closing.replace(true) {
             mesh.stop.0.close();
+            mesh.links.report_now();
         }
         let is_idle = mesh.in_flight.get() == 0 && mesh.door.in_flight() == 0;
-        if now_ms >= end_ms || (is_idle && now_ms >= began_ms + FAREWELL_MS) {
+        if now_ms >= end_ms || (is_idle && now_ms >= began_ms + FAREWELL_MS + LAST_CALLS_MS) {
             break;
         }
         sleep_ms(DRAIN_LOOK_MS).await;
--- a/crates/wire/src/h1/client.rs
+++ b/crates/wire/src/h1/client.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::{or, pending, poll_once};
-use http::header::{CONTENT_LENGTH, HOST};
+use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Version};
 use std::net::SocketAddr;
 use thiserror::Error;
@@ -131,7 +131,6 @@
     let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
     bytes.extend_from_slice(path.as_bytes());
     bytes.extend_from_slice(b" HTTP/1.1\r\n");
-    debug_assert!(request.headers().contains_key(HOST), "every request names its host");
     encode_headers(request.headers(), &mut bytes);
     let has_body = !body.is_empty() || !matches!(*request.method(), Method::GET | Method::HEAD);
     if has_body && !request.headers().contains_key(CONTENT_LENGTH) {
