--- a/crates/daemon/src/mesh/callers.rs
+++ b/crates/daemon/src/mesh/callers.rs
@@ -12,6 +12,9 @@
 use std::pin::Pin;
 use std::rc::Rc;
 
+/// The largest body that is held, whatever the configuration allows, in bytes: a VM may have no
+/// more than 100 MB.
+const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
 /// The pause after a failed accept, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 50;
 
@@ -61,7 +64,7 @@
         let limits = self.0.config.limits();
         ServerLimits {
             header_bytes_max: limits.header_bytes_max as usize,
-            body_bytes_max: limits.body_bytes_max as usize,
+            body_bytes_max: (limits.body_bytes_max as usize).min(BODY_BYTES_MAX),
             header_timeout_ms: limits.header_timeout_ms.into(),
             idle_timeout_ms: limits.idle_timeout_ms.into(),
         }
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -428,8 +428,10 @@
             load: mesh.door.load(mesh.now_ms()),
             body: answered.body,
         });
-        // A link that is gone has nobody to answer.
-        frames.try_send(encode(&message)).ok();
+        if frames.try_send(encode(&message)).is_err() {
+            // The peer learns from the end of the link that it need not wait.
+            frames.close();
+        }
     });
 }
 
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -33,7 +33,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -220,7 +220,7 @@
 
 /// Takes over the settings that can change while the daemon runs. A file that cannot be used is
 /// logged and leaves the settings as they were.
-fn reload(mesh: &Rc<Mesh>, path: &PathBuf) {
+fn reload(mesh: &Rc<Mesh>, path: &Path) {
     let read = Settings::read(path);
     let changed = match read {
         Ok(Settings { mesh: Some(changed), .. }) => changed,
