A daemon's predecessor at the same address holds no lease

Cause: a restarted daemon took its predecessor's leases for live ones until it had seen them unchanged for 6 s, twice (relay, then lead), and kept leaving its parent abroad for the dead relay at home; 24 s passed until its region had a lead that could call the old record gone. Ruled out: looks at leases every 6 s in place of 2; with 2 s the case still failed.

--- a/crates/core/src/roles.rs
+++ b/crates/core/src/roles.rs
@@ -156,7 +156,7 @@
         self.observed
             .range(Arc::from(prefix)..)
             .take_while(|(key, _)| key.starts_with(prefix))
-            .filter(|(_, observed)| !is_lapsed(observed))
+            .filter(|(_, observed)| !self.is_gone(observed))
             .map(|(_, observed)| observed.lease.holder.clone())
             .filter(|holder| holder.instance != self.own.instance)
             .collect()
@@ -301,11 +301,19 @@
     fn vacancy(&self, key: Arc<str>) -> Option<(Arc<str>, u64)> {
         match self.observed.get(&key) {
             None => Some((key, 0)),
-            Some(observed) if is_lapsed(observed) => Some((key, observed.object_version)),
+            Some(observed) if self.is_gone(observed) => Some((key, observed.object_version)),
             Some(_) => None,
         }
     }
 
+    /// Whether a lease has no live holder: it lapsed, or its holder stood at this daemon's own
+    /// address, which it can only have given up by ending.
+    fn is_gone(&self, observed: &Observed) -> bool {
+        let holder = &observed.lease.holder;
+        let is_predecessor = holder.addr == self.own.addr && holder.instance != self.own.instance;
+        is_predecessor || is_lapsed(observed)
+    }
+
     /// Takes in the store's answer to one of this system's calls.
     pub fn answered(
         &mut self,
