Targets that left are remembered, also across the restart of the daemon beside them

Cause: the daemon had started again 0.2 s before its target said that it left, so that it had never heard of the target; 2.6 s later a delayed heartbeat made it ready again. Ruled out: a late message on our links; the log of sidecar-wal-a-4 shows the heartbeat with sequence 14 at 25.91 s.

--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -4,6 +4,7 @@
 //! sends its state, answers and row changes.
 
 use crate::call::{CallRequest, CallResponse};
+use crate::mesh::heartbeat::TargetStart;
 use crate::mesh::state::{DaemonRecord, DaemonState, TargetLoad};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -21,6 +22,8 @@
         own: DaemonRecord,
         known: Vec<DaemonRecord>,
         state: DaemonState,
+        /// Targets that left lately, which a daemon that starts again does not know.
+        left: Vec<TargetStart>,
     },
     State(DaemonState),
     /// Shows the accepting daemon that the link is alive.
--- a/crates/core/src/mesh/peers.rs
+++ b/crates/core/src/mesh/peers.rs
@@ -1,6 +1,7 @@
 //! The table of the other daemons.
 
 use crate::endpoint::TargetState;
+use crate::mesh::heartbeat::{LeftTargets, TargetStart};
 use crate::mesh::state::{DaemonRecord, DaemonState, TargetLoad, TargetSummary};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -73,11 +74,23 @@
 pub struct Peers {
     own: DaemonRecord,
     peers: BTreeMap<Arc<str>, Peer>,
+    /// Targets that left, also beside daemons that have started again since and forgot it.
+    left: LeftTargets,
 }
 
 impl Peers {
     pub fn new(own: DaemonRecord) -> Self {
-        Self { own, peers: BTreeMap::new() }
+        Self { own, peers: BTreeMap::new(), left: LeftTargets::default() }
+    }
+
+    /// Remembers that a target has left.
+    pub fn note_left(&mut self, start: TargetStart, now_ms: u64) {
+        self.left.note(start, now_ms);
+    }
+
+    /// Targets that left lately.
+    pub fn left(&self) -> Vec<TargetStart> {
+        self.left.all().cloned().collect()
     }
 
     pub fn own(&self) -> &DaemonRecord {
@@ -177,7 +190,14 @@
         }
     }
 
-    pub fn report(&mut self, name: &str, state: DaemonState, now_ms: u64) {
+    pub fn report(&mut self, name: &str, mut state: DaemonState, now_ms: u64) {
+        if let Some(target) = &mut state.target {
+            if target.state == TargetState::Draining {
+                self.left.note(target.start(), now_ms);
+            } else if self.left.has_left(&target.start(), now_ms) {
+                target.state = TargetState::Draining;
+            }
+        }
         if let Some(peer) = self.peers.get_mut(name) {
             peer.state = Some(state);
             peer.heard_ms = now_ms;
--- a/crates/core/src/mesh/state.rs
+++ b/crates/core/src/mesh/state.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::RANKS;
 use crate::endpoint::TargetState;
+use crate::mesh::heartbeat::TargetStart;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -43,13 +44,21 @@
 /// The target beside a daemon.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetSummary {
-    /// The name of this start of the target.
+    /// The name that the target gives itself; requests name it, so that no other one runs them.
     pub id: Arc<str>,
+    /// When this start of it began, in milliseconds since the Unix epoch.
+    pub born_unix_ms: u64,
     pub service: Arc<str>,
     pub state: TargetState,
     pub load: TargetLoad,
 }
 
+impl TargetSummary {
+    pub fn start(&self) -> TargetStart {
+        TargetStart { id: self.id.clone(), born_unix_ms: self.born_unix_ms }
+    }
+}
+
 /// What a daemon knows of the configuration in the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigState {
--- a/crates/core/tests/mesh_config.rs
+++ b/crates/core/tests/mesh_config.rs
@@ -123,6 +123,7 @@
         peers.learn(record(index), true, 0);
         let target = TargetSummary {
             id: "t".into(),
+            born_unix_ms: 100,
             service: "s".into(),
             state: TargetState::Ready,
             load: TargetLoad::default(),
--- a/crates/daemon/src/mesh/control.rs
+++ b/crates/daemon/src/mesh/control.rs
@@ -5,8 +5,9 @@
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
+use pomeloreach_core::endpoint::TargetState;
 use pomeloreach_core::event::Event;
-use pomeloreach_core::mesh::heartbeat::Heard;
+use pomeloreach_core::mesh::heartbeat::{Heard, TargetStart};
 use pomeloreach_core::mesh::peers::Peer;
 use pomeloreach_core::mesh::state::{DaemonRecord, DaemonState};
 use pomeloreach_platform::control::{ControlCall, control_call, decode_heartbeat, decode_leave};
@@ -15,6 +16,7 @@
 use std::future::{Ready, ready};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// What may be sent to this port; a heartbeat has some hundred bytes.
 const LIMITS: ServerLimits = ServerLimits {
@@ -80,7 +82,11 @@
         heartbeat.slots,
         heartbeat.cold_left_ms
     );
-    let heard = mesh.target.borrow_mut().hear(heartbeat, mesh.now_ms());
+    let now_ms = mesh.now_ms();
+    if heartbeat.state == TargetState::Draining {
+        mesh.peers.borrow_mut().note_left(heartbeat.start(), now_ms);
+    }
+    let heard = mesh.target.borrow_mut().hear(heartbeat, now_ms);
     if heard == Heard::Changed {
         log_event(Event::TargetAnnounced, &detail);
         mesh.door.refresh(mesh);
@@ -90,14 +96,24 @@
 }
 
 fn leave(mesh: &Rc<Mesh>, id: &str, body: &[u8]) -> Response<Bytes> {
-    if mesh.target.borrow_mut().leave(id, decode_leave(body)) {
-        log_event(Event::TargetLeft, &format!("target={id}"));
+    // A target that does not say when it began has begun before now.
+    let born_unix_ms = decode_leave(body).unwrap_or_else(unix_ms);
+    let start = TargetStart { id: id.into(), born_unix_ms };
+    let now_ms = mesh.now_ms();
+    mesh.peers.borrow_mut().note_left(start.clone(), now_ms);
+    log_event(Event::TargetLeft, &format!("target={id} born_unix_ms={born_unix_ms}"));
+    if mesh.target.borrow_mut().leave(start, now_ms) {
         mesh.door.refresh(mesh);
         mesh.links.report_now();
     }
     empty(StatusCode::OK)
 }
 
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// The state of the daemon, for people.
 #[derive(Serialize)]
 struct Dump {
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -14,6 +14,7 @@
 use futures_lite::io::BufReader;
 use futures_lite::{AsyncWriteExt, StreamExt};
 use pomeloreach_core::event::Event;
+use pomeloreach_core::mesh::heartbeat::TargetStart;
 use pomeloreach_core::mesh::message::{Answer, Call, LinkMessage};
 use pomeloreach_core::mesh::state::{DaemonRecord, DaemonState};
 use pomeloreach_platform::headers;
@@ -208,7 +209,7 @@
     frames.try_send(encode(&LinkMessage::Hello { own: mesh.own.clone(), known })).ok();
     mesh.spawn(write(stream.clone(), queued));
     let mut reader = BufReader::new(stream);
-    let LinkMessage::Welcome { own, known, state } = read(&mut reader, OPEN_MS).await? else {
+    let LinkMessage::Welcome { own, known, state, left } = read(&mut reader, OPEN_MS).await? else {
         return Err(LinkEnd::OutOfOrder);
     };
     let name = own.name.clone();
@@ -222,6 +223,7 @@
     mesh.links.out.borrow_mut().insert(name.clone(), link);
     *opened = Some((name.clone(), start_id));
     learn(mesh, own, known);
+    learn_left(mesh, left);
     mesh.peers.borrow_mut().linked_up(&name, state.clone(), mesh.now_ms());
     log_event(Event::PeerJoined, &format!("peer={name}"));
     ask_config(mesh, &name, &state);
@@ -253,6 +255,19 @@
     }
 }
 
+/// A daemon that starts again learns from its peers which targets have left, also its own.
+fn learn_left(mesh: &Rc<Mesh>, left: Vec<TargetStart>) {
+    let now_ms = mesh.now_ms();
+    for start in left {
+        if mesh.target.borrow_mut().leave(start.clone(), now_ms) {
+            log_event(Event::TargetLeft, &format!("target={} source=peer", start.id));
+            mesh.door.refresh(mesh);
+            mesh.links.report_now();
+        }
+        mesh.peers.borrow_mut().note_left(start, now_ms);
+    }
+}
+
 fn receive_opened(
     mesh: &Rc<Mesh>,
     peer: &Arc<str>,
@@ -367,8 +382,9 @@
     let (name, region) = (own.name.clone(), own.region.clone());
     let (frames, queued) = async_channel::bounded(WAITING_MAX);
     let records = mesh.peers.borrow().records();
-    let welcome =
-        LinkMessage::Welcome { own: mesh.own.clone(), known: records, state: mesh.state() };
+    let left = mesh.peers.borrow().left();
+    let (own_record, state) = (mesh.own.clone(), mesh.state());
+    let welcome = LinkMessage::Welcome { own: own_record, known: records, state, left };
     frames.try_send(encode(&welcome)).ok();
     learn(mesh, own, known);
     mesh.peers.borrow_mut().came_back(&name, mesh.now_ms());
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -117,6 +117,7 @@
         let last = target.last()?;
         Some(TargetSummary {
             id: last.id.clone(),
+            born_unix_ms: last.born_unix_ms,
             service: last.service.clone(),
             state: target.state(self.now_ms()),
             load: self.door.load(self.now_ms()),
