--- /dev/null
+++ b/crates/daemon/src/mesh/accepted.rs
@@ -0,0 +1,125 @@
+//! The links that peers opened: their calls for the target beside this daemon come in on them.
+
+use super::Mesh;
+use super::door::{self, Cancel, DoorCall};
+use super::links::{InLink, LinkEnd, OPEN_MS, WAITING_MAX, encode, learn, read, request_id, write};
+use crate::logging::log_event;
+use async_channel::Sender;
+use async_net::{TcpListener, TcpStream};
+use bytes::Bytes;
+use futures_lite::io::BufReader;
+use pomeloreach_core::event::Event;
+use pomeloreach_core::mesh::message::{Answer, Call, LinkMessage};
+use pomeloreach_wire::clock::sleep_ms;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// The pause after a failed accept, in milliseconds.
+const ACCEPT_PAUSE_MS: u64 = 100;
+/// After this long without a message an accepted link is closed, in milliseconds.
+const ACCEPTED_SILENT_MS: u64 = 8_000;
+
+/// Accepts links of peers.
+pub async fn accept(mesh: Rc<Mesh>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep_ms(ACCEPT_PAUSE_MS).await;
+            continue;
+        };
+        let task_mesh = mesh.clone();
+        mesh.spawn(async move {
+            let mut link = None;
+            let end = run_accepted(&task_mesh, stream, &mut link).await;
+            if let Some(link) = link {
+                task_mesh.links.accepted.borrow_mut().remove(&link);
+            }
+            if let Err(LinkEnd::OutOfOrder) = end {
+                log_event(Event::InputRefused, "reason=a link sent a message out of order");
+            }
+        });
+    }
+}
+
+async fn run_accepted(
+    mesh: &Rc<Mesh>,
+    stream: TcpStream,
+    accepted: &mut Option<u64>,
+) -> Result<(), LinkEnd> {
+    // Without this option answers would only be later.
+    stream.set_nodelay(true).ok();
+    let mut reader = BufReader::new(stream.clone());
+    let LinkMessage::Hello { own, known } = read(&mut reader, OPEN_MS).await? else {
+        return Err(LinkEnd::OutOfOrder);
+    };
+    let (name, region) = (own.name.clone(), own.region.clone());
+    let (frames, queued) = async_channel::bounded(WAITING_MAX);
+    let records = mesh.peers.borrow().records();
+    let left = mesh.peers.borrow().left();
+    let (own_record, state) = (mesh.own.clone(), mesh.state());
+    let welcome = LinkMessage::Welcome { own: own_record, known: records, state, left };
+    frames.try_send(encode(&welcome)).ok();
+    learn(mesh, own, known);
+    mesh.peers.borrow_mut().came_back(&name, mesh.now_ms());
+    mesh.spawn(write(stream, queued));
+    let link = mesh.links.next_accepted.get() + 1;
+    mesh.links.next_accepted.set(link);
+    let in_link = InLink { frames: frames.clone(), region, reported_ms: Cell::new(mesh.now_ms()) };
+    mesh.links.accepted.borrow_mut().insert(link, in_link);
+    *accepted = Some(link);
+    // Dropping the table cancels the calls of a peer that is gone.
+    let running = Rc::new(RefCell::new(BTreeMap::new()));
+    let result = async {
+        loop {
+            match read(&mut reader, ACCEPTED_SILENT_MS).await? {
+                LinkMessage::Ping => {}
+                LinkMessage::Call(call) => serve_call(mesh, call, &running, &frames),
+                LinkMessage::Cancel { call } => {
+                    running.borrow_mut().remove(&call);
+                }
+                LinkMessage::AskConfig { held_version } => {
+                    if let Some(delta) = mesh.config.delta_since(held_version) {
+                        let message = LinkMessage::Config { delta: delta.into() };
+                        frames.try_send(encode(&message)).ok();
+                    }
+                }
+                _ => return Err(LinkEnd::OutOfOrder),
+            }
+        }
+    }
+    .await;
+    running.borrow_mut().clear();
+    frames.close();
+    result
+}
+
+fn serve_call(
+    mesh: &Rc<Mesh>,
+    call: Call,
+    running: &Rc<RefCell<BTreeMap<u64, Cancel>>>,
+    frames: &Sender<Bytes>,
+) {
+    let Call { call: number, request, terms, body } = call;
+    let request_id = request_id(&request);
+    let (answer, cancel) = door::submit(mesh, DoorCall { request, terms, body, request_id });
+    running.borrow_mut().insert(number, cancel);
+    let (mesh, running, frames) = (mesh.clone(), running.clone(), frames.clone());
+    mesh.clone().spawn(async move {
+        let answered = answer.recv().await;
+        running.borrow_mut().remove(&number);
+        let Ok(answered) = answered else { return };
+        let message = LinkMessage::Answer(Answer {
+            call: number,
+            response: answered.response,
+            reached_target: answered.reached_target,
+            retry_after_ms: answered.retry_after_ms,
+            service_ms: answered.service_ms,
+            load: mesh.door.load(mesh.now_ms()),
+            body: answered.body,
+        });
+        if frames.try_send(encode(&message)).is_err() {
+            // The peer learns from the end of the link that it need not wait.
+            frames.close();
+        }
+    });
+}
--- /dev/null
+++ b/crates/daemon/src/mesh/answer.rs
@@ -0,0 +1,44 @@
+//! The answers that callers get.
+
+use bytes::Bytes;
+use http::header::{HeaderName, HeaderValue};
+use http::{Response, StatusCode};
+use pomeloreach_core::call::CallResponse;
+use pomeloreach_core::code::ResultCode;
+use pomeloreach_platform::headers;
+
+/// A target's answer.
+pub struct Reply {
+    pub response: CallResponse,
+    pub body: Bytes,
+}
+
+pub fn pass_on(reply: Reply) -> Response<Bytes> {
+    let mut response = Response::new(reply.body);
+    let status = StatusCode::from_u16(reply.response.http_status);
+    *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+    for header in &reply.response.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_str(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
+
+/// The system's own answer to a request that has no answer of a target.
+pub fn refuse(request_id: &str, code: ResultCode, retry_after_ms: u64) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
+    let status = match code {
+        // A deadline that passed before the hand-over leaves the request not run.
+        ResultCode::DeadlineBeforeRun => 503,
+        other => other.http_status(),
+    };
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    headers::set_request_id(response.headers_mut(), request_id);
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        headers::set_retry_after(response.headers_mut(), retry_after_ms);
+    }
+    response
+}
--- a/crates/daemon/src/mesh/door.rs
+++ b/crates/daemon/src/mesh/door.rs
@@ -1,24 +1,20 @@
-//! The door of the target beside this daemon: admission, hand-over on kept connections, and what
-//! became of each request.
+//! The door of the target beside this daemon: admission, and what became of each request.
 
 use super::Mesh;
+use super::hand_over::{hand_over, passed_headers};
 use crate::logging::log_event;
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use futures_lite::future::{or, pending};
-use http::header::{HeaderName, HeaderValue};
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use pomeloreach_core::admission::{Admission, Admit, Arrival};
-use pomeloreach_core::call::{BODY_BYTES_MAX, CallRequest, CallResponse, Header};
+use pomeloreach_core::call::{CallRequest, CallResponse};
 use pomeloreach_core::code::ResultCode;
 use pomeloreach_core::endpoint::TargetState;
 use pomeloreach_core::event::Event;
 use pomeloreach_core::mesh::message::CallTerms;
 use pomeloreach_core::mesh::state::TargetLoad;
-use pomeloreach_platform::headers;
-use pomeloreach_wire::clock::{sleep_ms, within_ms};
-use pomeloreach_wire::h1::client::{Connection, ExchangeError};
-use pomeloreach_wire::h1::{self, MessageError};
+use pomeloreach_wire::clock::sleep_ms;
+use pomeloreach_wire::h1::client::Connection;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -26,12 +22,6 @@
 /// Requests that wait for each slot at the most. The time that they would wait is the tighter
 /// bound; this one holds while no service time is known.
 const QUEUED_PER_SLOT: usize = 4;
-/// How long opening a connection to a target on the same VM may take, in milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 500;
-/// How long a connection may stay idle if the target names no limit, in milliseconds.
-const IDLE_MS: u64 = 4_000;
-/// How much sooner than the target's own limit an idle connection is given up, in milliseconds.
-const IDLE_MARGIN_MS: u64 = 1_000;
 /// How long work for a caller that has left may go on, in milliseconds: an answer within this time
 /// saves the connection, which would otherwise have to be closed to stop the target.
 const CANCEL_MS: u64 = 300;
@@ -66,10 +56,11 @@
     pub body: Bytes,
 }
 
-struct Kept {
-    connection: Connection,
-    used_ms: u64,
-    idle_ms: u64,
+/// A connection to the target that waits for its next request.
+pub struct Kept {
+    pub connection: Connection,
+    pub used_ms: u64,
+    pub idle_ms: u64,
 }
 
 struct State {
@@ -109,6 +100,15 @@
         self.state.borrow().admission.in_flight()
     }
 
+    pub fn keep(&self, kept: Kept) {
+        self.state.borrow_mut().kept.push(kept);
+    }
+
+    /// The connection that was used last, so that the others may grow old.
+    pub fn take_kept(&self) -> Option<Kept> {
+        self.state.borrow_mut().kept.pop()
+    }
+
     /// How busy the target is, and how it has been doing.
     pub fn load(&self, now_ms: u64) -> TargetLoad {
         let state = self.state.borrow();
@@ -362,106 +362,3 @@
         _ => Err(ResultCode::TargetDraining),
     }
 }
-
-/// Hands a request to the target. An error says whether the request reached the target, and by its
-/// code whether it may have run.
-async fn hand_over(
-    mesh: &Rc<Mesh>,
-    call: &DoorCall,
-    deadline_ms: u64,
-) -> Result<Response<Bytes>, (ResultCode, bool)> {
-    let mut connection = connect(mesh).await?;
-    let left_ms = deadline_ms.saturating_sub(mesh.now_ms());
-    let request = target_request(call, left_ms).ok_or((ResultCode::RequestCut, false))?;
-    let is_stray = |answer: &HeaderMap| headers::target_head(answer, &call.request_id).is_stray;
-    let exchange = connection.exchange(&request, BODY_BYTES_MAX, is_stray);
-    match within_ms(left_ms, exchange).await {
-        None => Err((ResultCode::DeadlineAfterRun, true)),
-        Some(Ok(answer)) => accept(mesh, call, connection, answer),
-        Some(Err(ExchangeError::NoAnswer(MessageError::Ended | MessageError::Broken(_)))) => {
-            Err((ResultCode::AnswerLost, true))
-        }
-        Some(Err(_)) => Err((ResultCode::AnswerCut, true)),
-    }
-}
-
-/// Judges an answer, and keeps the connection if it can carry another request.
-fn accept(
-    mesh: &Rc<Mesh>,
-    call: &DoorCall,
-    connection: Connection,
-    answer: Response<Bytes>,
-) -> Result<Response<Bytes>, (ResultCode, bool)> {
-    let said = headers::target_head(answer.headers(), &call.request_id);
-    if answer.status() == StatusCode::MISDIRECTED_REQUEST {
-        mesh.target.borrow_mut().unreachable();
-        return Err((ResultCode::WrongInstance, true));
-    }
-    if !connection.is_done() {
-        let idle_ms = idle_ms(answer.headers());
-        let kept = Kept { connection, used_ms: mesh.now_ms(), idle_ms };
-        mesh.door.state.borrow_mut().kept.push(kept);
-    }
-    if said.not_executed {
-        return Err((ResultCode::TargetFull, true));
-    }
-    if answer.status().is_success() && (!said.is_signed || said.is_encoded) {
-        return Err((ResultCode::AnswerCut, true));
-    }
-    Ok(answer)
-}
-
-async fn connect(mesh: &Rc<Mesh>) -> Result<Connection, (ResultCode, bool)> {
-    let now_ms = mesh.now_ms();
-    loop {
-        let Some(kept) = mesh.door.state.borrow_mut().kept.pop() else { break };
-        if now_ms < kept.used_ms + kept.idle_ms && kept.connection.is_usable().await {
-            return Ok(kept.connection);
-        }
-    }
-    let addr = mesh.mesh_settings.borrow().target_addr;
-    let opened = Connection::open(addr, CONNECT_TIMEOUT_MS).await;
-    opened.map_err(|error| {
-        log_event(Event::TargetUnreachable, &format!("reason={error}"));
-        mesh.target.borrow_mut().unreachable();
-        mesh.door.refresh(mesh);
-        mesh.links.report_now();
-        (ResultCode::TargetUnreachable, false)
-    })
-}
-
-/// How long the target keeps an idle connection, with a margin.
-fn idle_ms(headers: &HeaderMap) -> u64 {
-    let header = headers.get("keep-alive").and_then(|value| value.to_str().ok());
-    let seconds = header.and_then(|value| {
-        value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.parse::<u64>().ok())
-    });
-    seconds.map_or(IDLE_MS, |seconds| (seconds * 1_000).saturating_sub(IDLE_MARGIN_MS))
-}
-
-fn target_request(call: &DoorCall, left_ms: u64) -> Option<Request<Bytes>> {
-    let mut request = Request::new(call.body.clone());
-    *request.method_mut() = call.request.method.parse::<Method>().ok()?;
-    *request.uri_mut() = call.request.path.parse::<Uri>().ok()?;
-    for Header { name, value } in &call.request.headers {
-        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
-        request.headers_mut().append(name, HeaderValue::from_str(value).ok()?);
-    }
-    headers::set_hand_over(request.headers_mut(), left_ms, &call.request.instance);
-    Some(request)
-}
-
-/// The headers that are passed on, in either direction.
-pub fn passed_headers(headers: &HeaderMap) -> Vec<Header> {
-    let mut passed = Vec::with_capacity(headers.len());
-    for (name, value) in headers {
-        if h1::is_hop_by_hop(name.as_str(), headers) {
-            continue;
-        }
-        match value.to_str() {
-            Ok(value) => passed.push(Header { name: name.as_str().into(), value: value.into() }),
-            Err(_) => log_event(Event::HeaderDropped, &format!("header={name} reason=not text")),
-        }
-    }
-    passed
-}
--- /dev/null
+++ b/crates/daemon/src/mesh/hand_over.rs
@@ -0,0 +1,125 @@
+//! Hands requests to the target on kept connections, and judges its answers.
+
+use super::Mesh;
+use super::door::{DoorCall, Kept};
+use crate::logging::log_event;
+use bytes::Bytes;
+use http::header::{HeaderName, HeaderValue};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use pomeloreach_core::call::{BODY_BYTES_MAX, Header};
+use pomeloreach_core::code::ResultCode;
+use pomeloreach_core::event::Event;
+use pomeloreach_platform::headers;
+use pomeloreach_wire::clock::within_ms;
+use pomeloreach_wire::h1::client::{Connection, ExchangeError};
+use pomeloreach_wire::h1::{self, MessageError};
+use std::rc::Rc;
+
+/// How long opening a connection to a target on the same VM may take, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 500;
+/// How long a connection may stay idle if the target names no limit, in milliseconds.
+const IDLE_MS: u64 = 4_000;
+/// How much sooner than the target's own limit an idle connection is given up, in milliseconds.
+const IDLE_MARGIN_MS: u64 = 1_000;
+/// Hands a request to the target. An error says whether the request reached the target, and by its
+/// code whether it may have run.
+pub async fn hand_over(
+    mesh: &Rc<Mesh>,
+    call: &DoorCall,
+    deadline_ms: u64,
+) -> Result<Response<Bytes>, (ResultCode, bool)> {
+    let mut connection = connect(mesh).await?;
+    let left_ms = deadline_ms.saturating_sub(mesh.now_ms());
+    let request = target_request(call, left_ms).ok_or((ResultCode::RequestCut, false))?;
+    let is_stray = |answer: &HeaderMap| headers::target_head(answer, &call.request_id).is_stray;
+    let exchange = connection.exchange(&request, BODY_BYTES_MAX, is_stray);
+    match within_ms(left_ms, exchange).await {
+        None => Err((ResultCode::DeadlineAfterRun, true)),
+        Some(Ok(answer)) => accept(mesh, call, connection, answer),
+        Some(Err(ExchangeError::NoAnswer(MessageError::Ended | MessageError::Broken(_)))) => {
+            Err((ResultCode::AnswerLost, true))
+        }
+        Some(Err(_)) => Err((ResultCode::AnswerCut, true)),
+    }
+}
+
+/// Judges an answer, and keeps the connection if it can carry another request.
+fn accept(
+    mesh: &Rc<Mesh>,
+    call: &DoorCall,
+    connection: Connection,
+    answer: Response<Bytes>,
+) -> Result<Response<Bytes>, (ResultCode, bool)> {
+    let said = headers::target_head(answer.headers(), &call.request_id);
+    if answer.status() == StatusCode::MISDIRECTED_REQUEST {
+        mesh.target.borrow_mut().unreachable();
+        return Err((ResultCode::WrongInstance, true));
+    }
+    if !connection.is_done() {
+        let idle_ms = idle_ms(answer.headers());
+        let kept = Kept { connection, used_ms: mesh.now_ms(), idle_ms };
+        mesh.door.keep(kept);
+    }
+    if said.not_executed {
+        return Err((ResultCode::TargetFull, true));
+    }
+    if answer.status().is_success() && (!said.is_signed || said.is_encoded) {
+        return Err((ResultCode::AnswerCut, true));
+    }
+    Ok(answer)
+}
+
+async fn connect(mesh: &Rc<Mesh>) -> Result<Connection, (ResultCode, bool)> {
+    let now_ms = mesh.now_ms();
+    loop {
+        let Some(kept) = mesh.door.take_kept() else { break };
+        if now_ms < kept.used_ms + kept.idle_ms && kept.connection.is_usable().await {
+            return Ok(kept.connection);
+        }
+    }
+    let addr = mesh.mesh_settings.borrow().target_addr;
+    let opened = Connection::open(addr, CONNECT_TIMEOUT_MS).await;
+    opened.map_err(|error| {
+        log_event(Event::TargetUnreachable, &format!("reason={error}"));
+        mesh.target.borrow_mut().unreachable();
+        mesh.door.refresh(mesh);
+        mesh.links.report_now();
+        (ResultCode::TargetUnreachable, false)
+    })
+}
+
+/// How long the target keeps an idle connection, with a margin.
+fn idle_ms(headers: &HeaderMap) -> u64 {
+    let header = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let seconds = header.and_then(|value| {
+        value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.parse::<u64>().ok())
+    });
+    seconds.map_or(IDLE_MS, |seconds| (seconds * 1_000).saturating_sub(IDLE_MARGIN_MS))
+}
+
+fn target_request(call: &DoorCall, left_ms: u64) -> Option<Request<Bytes>> {
+    let mut request = Request::new(call.body.clone());
+    *request.method_mut() = call.request.method.parse::<Method>().ok()?;
+    *request.uri_mut() = call.request.path.parse::<Uri>().ok()?;
+    for Header { name, value } in &call.request.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        request.headers_mut().append(name, HeaderValue::from_str(value).ok()?);
+    }
+    headers::set_hand_over(request.headers_mut(), left_ms, &call.request.instance);
+    Some(request)
+}
+
+/// The headers that are passed on, in either direction.
+pub fn passed_headers(headers: &HeaderMap) -> Vec<Header> {
+    let mut passed = Vec::with_capacity(headers.len());
+    for (name, value) in headers {
+        if h1::is_hop_by_hop(name.as_str(), headers) {
+            continue;
+        }
+        match value.to_str() {
+            Ok(value) => passed.push(Header { name: name.as_str().into(), value: value.into() }),
+            Err(_) => log_event(Event::HeaderDropped, &format!("header={name} reason=not text")),
+        }
+    }
+    passed
+}
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -2,12 +2,18 @@
 //!
 //! Everything runs on one thread: a daemon has a fraction of a core, and the tables need no locks.
 
+mod accepted;
+mod answer;
+mod attempt;
 mod callers;
 mod config;
 mod control;
+mod dialled;
 mod directory;
 mod door;
+mod hand_over;
 mod links;
+mod report;
 mod request;
 
 use crate::error::DaemonError;
@@ -190,9 +196,9 @@
         settings,
         mesh_settings: RefCell::new(Rc::new(mesh_settings)),
     });
-    mesh.spawn(links::accept(mesh.clone(), link_listener));
-    mesh.spawn(links::dial(mesh.clone()));
-    mesh.spawn(links::report(mesh.clone()));
+    mesh.spawn(accepted::accept(mesh.clone(), link_listener));
+    mesh.spawn(dialled::dial(mesh.clone()));
+    mesh.spawn(report::report(mesh.clone()));
     mesh.spawn(directory::keep(mesh.clone()));
     mesh.spawn(config::read(mesh.clone()));
     mesh.spawn(door::watch(mesh.clone()));
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -1,20 +1,22 @@
 //! The way of one request of a caller: its route, its attempts, its answer.
 
-use super::door::{self, DoorCall, passed_headers};
-use super::{Mesh, links};
+use super::Mesh;
+use super::answer::{Reply, pass_on, refuse};
+use super::attempt::{Attempt, Job};
+use super::hand_over::passed_headers;
 use crate::logging::log_event;
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use bytes::Bytes;
-use http::header::{HOST, HeaderName, HeaderValue};
+use http::Response;
+use http::header::HOST;
 use http::request::Parts;
-use http::{Response, StatusCode};
 use pomeloreach_core::budget::{BudgetLimits, RetryBudget};
-use pomeloreach_core::call::{CallRequest, CallResponse};
+use pomeloreach_core::call::CallRequest;
 use pomeloreach_core::code::{Outcome, ResultCode};
 use pomeloreach_core::event::Event;
 use pomeloreach_core::matching::MatchedRoute;
-use pomeloreach_core::mesh::message::{Call, CallTerms};
+use pomeloreach_core::mesh::message::CallTerms;
 use pomeloreach_core::mesh::placer::{self, Ask, Choice};
 use pomeloreach_core::mesh::usual::UsualTimes;
 use pomeloreach_platform::headers;
@@ -66,90 +68,6 @@
     retry_after_ms: u64,
 }
 
-/// A target's answer.
-struct Reply {
-    response: CallResponse,
-    body: Bytes,
-}
-
-/// One attempt.
-struct Job {
-    mesh: Rc<Mesh>,
-    /// The daemon beside the target; absent for the target beside this one.
-    peer: Option<Arc<str>>,
-    request: CallRequest,
-    terms: CallTerms,
-    body: Bytes,
-    request_id: Arc<str>,
-}
-
-impl Job {
-    async fn run(self) -> Attempt {
-        match self.peer.clone() {
-            None => self.run_here().await,
-            Some(peer) => self.run_there(&peer).await,
-        }
-    }
-
-    async fn run_here(self) -> Attempt {
-        let Self { mesh, request, terms, body, request_id, .. } = self;
-        let call = DoorCall { request, terms, body, request_id };
-        let (answer, _cancel_on_drop) = door::submit(&mesh, call);
-        match answer.recv().await {
-            Ok(answer) => Attempt {
-                response: answer.response,
-                body: answer.body,
-                reached_target: answer.reached_target,
-                retry_after_ms: answer.retry_after_ms.into(),
-                service_ms: answer.service_ms,
-            },
-            Err(_) => Attempt::failed(ResultCode::AnswerLost, true),
-        }
-    }
-
-    async fn run_there(self, peer: &Arc<str>) -> Attempt {
-        let Self { mesh, request, terms, body, .. } = self;
-        let Some(sent) = links::call(&mesh, peer, Call { call: 0, request, terms, body }) else {
-            return Attempt::failed(ResultCode::TargetUnreachable, false);
-        };
-        let mut outstanding = Outstanding::new(&mesh, peer);
-        let Some(answer) = sent.answer().await else {
-            outstanding.is_lost = true;
-            return Attempt::failed(ResultCode::AnswerLost, true);
-        };
-        let is_gone = matches!(
-            answer.response.code,
-            ResultCode::TargetDraining | ResultCode::WrongInstance | ResultCode::TargetUnreachable
-        );
-        if is_gone {
-            mesh.peers.borrow_mut().target_refused(peer);
-        }
-        Attempt {
-            response: answer.response,
-            body: answer.body,
-            reached_target: answer.reached_target,
-            retry_after_ms: answer.retry_after_ms.into(),
-            service_ms: answer.service_ms,
-        }
-    }
-}
-
-/// What became of one attempt.
-struct Attempt {
-    response: CallResponse,
-    body: Bytes,
-    reached_target: bool,
-    retry_after_ms: u64,
-    service_ms: Option<u32>,
-}
-
-impl Attempt {
-    fn failed(code: ResultCode, reached_target: bool) -> Self {
-        let response = CallResponse::refusal(code, 0);
-        Self { response, body: Bytes::new(), reached_target, retry_after_ms: 0, service_ms: None }
-    }
-}
-
 /// Serves one request from its arrival to its answer.
 pub async fn serve(mesh: &Rc<Mesh>, head: Parts, body: Bytes, arrived_ms: u64) -> Response<Bytes> {
     let said = headers::caller_head(&head.headers);
@@ -468,54 +386,3 @@
         note(self.mesh.usual.borrow_mut().entry(self.route.name.clone()).or_default());
     }
 }
-
-/// Counts a call at a peer until it ends, however it ends.
-struct Outstanding<'a> {
-    mesh: &'a Mesh,
-    peer: &'a str,
-    is_lost: bool,
-}
-
-impl<'a> Outstanding<'a> {
-    fn new(mesh: &'a Mesh, peer: &'a str) -> Self {
-        mesh.peers.borrow_mut().call_began(peer);
-        Self { mesh, peer, is_lost: false }
-    }
-}
-
-impl Drop for Outstanding<'_> {
-    fn drop(&mut self) {
-        let now_ms = self.mesh.now_ms();
-        self.mesh.peers.borrow_mut().call_ended(self.peer, self.is_lost, now_ms);
-    }
-}
-
-fn pass_on(reply: Reply) -> Response<Bytes> {
-    let mut response = Response::new(reply.body);
-    let status = StatusCode::from_u16(reply.response.http_status);
-    *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
-    for header in &reply.response.headers {
-        let name = HeaderName::from_bytes(header.name.as_bytes());
-        let value = HeaderValue::from_str(&header.value);
-        if let (Ok(name), Ok(value)) = (name, value) {
-            response.headers_mut().append(name, value);
-        }
-    }
-    response
-}
-
-/// The system's own answer to a request that has no answer of a target.
-fn refuse(request_id: &str, code: ResultCode, retry_after_ms: u64) -> Response<Bytes> {
-    let mut response = Response::new(Bytes::new());
-    let status = match code {
-        // A deadline that passed before the hand-over leaves the request not run.
-        ResultCode::DeadlineBeforeRun => 503,
-        other => other.http_status(),
-    };
-    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    headers::set_request_id(response.headers_mut(), request_id);
-    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
-        headers::set_retry_after(response.headers_mut(), retry_after_ms);
-    }
-    response
-}
