--- a/crates/core/src/mesh/placer.rs
+++ b/crates/core/src/mesh/placer.rs
@@ -39,6 +39,8 @@
 const SLOWNESS_MAX: f64 = 8.0;
 /// The share of the time left within which a late request must be expected to end.
 const LATE_TIME_SHARE: f64 = 0.6;
+/// The fractional part of the golden ratio; its multiples spread most evenly between 0 and 1.
+const GOLDEN_RATIO: f64 = 0.618_033_988_75;
 /// The service time of a target that nothing is known of, in milliseconds.
 const UNKNOWN_SERVICE_MS: f64 = 20.0;
 
@@ -88,9 +90,11 @@
 }
 
 /// A target that may be chosen, before its expected time is worked out.
-struct Found {
+struct Reachable {
     choice: Choice,
     load: TargetLoad,
+    /// Requests that the load report cannot know of yet, this daemon's own and those that others
+    /// are likely to have sent.
     unreported: f64,
     distance: Distance,
     failed_lately: bool,
@@ -98,13 +102,13 @@
 
 /// Chooses among the targets of a service.
 pub fn choose(peers: &Peers, own: Option<&TargetSummary>, ask: &Ask, now_ms: u64) -> Choice {
-    let mut found: Vec<Found> = Vec::new();
+    let mut found: Vec<Reachable> = Vec::new();
     if let Some(target) = own
         && is_usable(target, &peers.own().name, ask)
     {
         let distance = Distance { rtt_ms: 0.0, cost_ms: 0.0 };
         let (choice, load) = (Choice::Own, target.load);
-        found.push(Found { choice, load, unreported: 0.0, distance, failed_lately: false });
+        found.push(Reachable { choice, load, unreported: 0.0, distance, failed_lately: false });
     }
     for peer in peers.linked() {
         let Some(target) = peer.ready_target() else { continue };
@@ -116,7 +120,7 @@
             peer.unreported.max(peer.outstanding.saturating_sub(target.load.running));
         let age_s = now_ms.saturating_sub(peer.heard_ms) as f64 / 1_000.0;
         let others = age_s * DRIFT_PER_S * f64::from(target.load.slots);
-        found.push(Found {
+        found.push(Reachable {
             choice,
             load: target.load,
             unreported: f64::from(own_unreported) + others,
@@ -140,19 +144,19 @@
 fn pick(mut candidates: Vec<Candidate>, ask: &Ask) -> Choice {
     // Spreads the scores by a sequence that differs from candidate to candidate.
     for (index, candidate) in candidates.iter_mut().enumerate() {
-        let turn = (ask.random + index as f64 * 0.618_033_988_75).fract();
+        let turn = (ask.random + index as f64 * GOLDEN_RATIO).fract();
         candidate.score *= 1.0 + SPREAD * turn;
     }
     candidates.sort_by(|a, b| a.score.total_cmp(&b.score));
     let Some(best) = candidates.first() else { return Choice::NoTarget };
     let goal_ms = ask.goal_ms as f64;
     // What will be late in any case is only tried nearby; far targets have callers of their own.
-    let late_ms = ask.left_ms as f64 * LATE_TIME_SHARE;
+    let late_limit_ms = ask.left_ms as f64 * LATE_TIME_SHARE;
     let chosen = candidates
         .iter()
         .find(|candidate| candidate.expected_ms <= goal_ms)
-        .or_else(|| candidates.iter().find(|c| c.is_near && c.late_ms <= late_ms))
-        .or_else(|| candidates.iter().find(|c| c.wait_ms <= 0.0 && c.late_ms <= late_ms));
+        .or_else(|| candidates.iter().find(|c| c.is_near && c.late_ms <= late_limit_ms))
+        .or_else(|| candidates.iter().find(|c| c.wait_ms <= 0.0 && c.late_ms <= late_limit_ms));
     if let Some(chosen) = chosen {
         return chosen.choice.clone();
     }
@@ -168,7 +172,9 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Distance {
+    /// The time for the way there and back, in milliseconds.
     rtt_ms: f64,
+    /// That time and the price of the bytes, in milliseconds.
     cost_ms: f64,
 }
 
@@ -185,8 +191,8 @@
 
 /// Works out when a target would answer. Its mean over all kinds of requests tells how long others
 /// hold its slots, and how fast it is beside the rest of its service.
-fn candidate(found: Found, usual_ms: f64, ask: &Ask) -> Candidate {
-    let Found { choice, load, unreported, distance, failed_lately } = found;
+fn candidate(found: Reachable, usual_ms: f64, ask: &Ask) -> Candidate {
+    let Reachable { choice, load, unreported, distance, failed_lately } = found;
     let slots = f64::from(load.slots.max(1));
     let mean_ms = if load.service_ms > 0.0 { f64::from(load.service_ms) } else { usual_ms };
     let slowness = (mean_ms / usual_ms).clamp(SLOWNESS_MIN, SLOWNESS_MAX);
--- a/crates/daemon/src/mesh/directory.rs
+++ b/crates/daemon/src/mesh/directory.rs
@@ -26,9 +26,12 @@
     until_done(&mesh, || store.announce(&mesh.own, ANSWER_MS)).await;
     let mut may_be_old = false;
     loop {
-        let records = until_done(&mesh, || store.daemons(may_be_old, ANSWER_MS)).await;
+        let list = until_done(&mesh, || store.daemons(may_be_old, ANSWER_MS)).await;
         let now_ms = mesh.now_ms();
-        for record in records {
+        for reason in list.unreadable {
+            log_event(Event::InputRefused, &format!("call=directory reason={reason}"));
+        }
+        for record in list.records {
             mesh.peers.borrow_mut().learn(record, false, now_ms);
         }
         may_be_old = true;
