Reading is not disturbed by a wait that ends

Cause: Reader::fill grew its buffer before it waited, so that a wait that was ended by its time left zeros in it; after an order that had waited for earlier answers the next request of the connection was refused with 400. Test: http_server posts_wait_and_go_on (fails before).

--- a/crates/wire/src/h1/reader.rs
+++ b/crates/wire/src/h1/reader.rs
@@ -49,11 +49,12 @@
 pub struct Reader {
     stream: TcpStream,
     buffer: BytesMut,
+    scratch: Box<[u8]>,
 }
 
 impl Reader {
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, buffer: BytesMut::new() }
+        Self { stream, buffer: BytesMut::new(), scratch: vec![0; READ_BYTES].into() }
     }
 
     /// The connection itself, for writing to it.
@@ -65,13 +66,11 @@
         !self.buffer.is_empty()
     }
 
-    /// Reads more bytes. Returns whether there were any.
+    /// Reads more bytes. Returns whether there were any. Dropping the future loses nothing.
     pub async fn fill(&mut self) -> Result<bool, MessageError> {
-        let held = self.buffer.len();
-        self.buffer.resize(held + READ_BYTES, 0);
-        let read = self.stream.read(&mut self.buffer[held..]).await;
-        self.buffer.truncate(held + *read.as_ref().unwrap_or(&0));
-        Ok(read? > 0)
+        let bytes = self.stream.read(&mut self.scratch).await?;
+        self.buffer.extend_from_slice(&self.scratch[..bytes]);
+        Ok(bytes > 0)
     }
 
     /// Takes the head of a request if it is there whole.
--- a/crates/wire/src/h1/server.rs
+++ b/crates/wire/src/h1/server.rs
@@ -16,6 +16,8 @@
 
 /// Requests of one connection that are worked on or wait to be answered at once.
 const AHEAD_MAX: usize = 32;
+/// How often a request that waits for earlier answers looks for them, in milliseconds.
+const ANSWERS_LOOK_MS: u64 = 5;
 
 /// What a client may send, and how long it may take.
 #[derive(Clone, Copy, Debug)]
@@ -190,9 +192,6 @@
     }
 }
 
-/// How often a request that waits for earlier answers looks for them, in milliseconds.
-const ANSWERS_LOOK_MS: u64 = 5;
-
 fn end_of(error: &MessageError) -> End {
     match error {
         MessageError::Ended | MessageError::Cut | MessageError::Broken(_) => End::Gone,
--- a/crates/wire/tests/http_server.rs
+++ b/crates/wire/tests/http_server.rs
@@ -155,6 +155,23 @@
     assert_eq!(*service.begun.borrow(), ["/a/50"], "the answer before it closed the connection");
 }
 
+/// Waiting for earlier answers takes nothing away from what is read meanwhile.
+#[test]
+fn posts_wait_and_go_on() {
+    let answers = with_server(&Echo::default(), async |mut stream| {
+        let ahead = b"GET /a/60 HTTP/1.1\r\nhost: h\r\n\r\n\
+                      POST /b/0 HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\nxy";
+        stream.write_all(ahead).await.unwrap();
+        sleep_ms(120).await;
+        let last = b"GET /c/0 HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+        stream.write_all(last).await.unwrap();
+        read_all(&mut stream).await
+    });
+    for answer in ["GET /a/60 ", "POST /b/0 xy", "GET /c/0 "] {
+        assert!(answers.contains(answer), "{answers}");
+    }
+}
+
 /// A caller that leaves cancels what it asked for, also when it had sent more ahead.
 #[test]
 fn hang_up_cancels() {
