--- a/crates/core/src/mesh/peers.rs
+++ b/crates/core/src/mesh/peers.rs
@@ -105,6 +105,11 @@
         self.peers.values()
     }
 
+    /// How many daemons there are, this one included.
+    pub fn daemons(&self) -> usize {
+        self.peers.len() + 1
+    }
+
     pub fn linked(&self) -> impl Iterator<Item = &Peer> {
         self.peers.values().filter(|peer| peer.is_linked)
     }
--- a/crates/daemon/src/mesh/accepted.rs
+++ b/crates/daemon/src/mesh/accepted.rs
@@ -1,43 +1,37 @@
 //! The links that peers opened: their calls for the target beside this daemon come in on them.
 
-use super::Mesh;
 use super::door::{self, Cancel, DoorCall};
 use super::links::{InLink, LinkEnd, OPEN_MS, WAITING_MAX, encode, learn, read, request_id, write};
+use super::{Mesh, listener};
 use crate::logging::log_event;
 use async_channel::Sender;
 use async_net::{TcpListener, TcpStream};
 use bytes::Bytes;
+use futures_lite::future::pending;
 use futures_lite::io::BufReader;
 use pomeloreach_core::event::Event;
 use pomeloreach_core::mesh::message::{Answer, Call, LinkMessage};
-use pomeloreach_wire::clock::sleep_ms;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// The pause after a failed accept, in milliseconds.
-const ACCEPT_PAUSE_MS: u64 = 100;
 /// After this long without a message an accepted link is closed, in milliseconds.
 const ACCEPTED_SILENT_MS: u64 = 8_000;
 
 /// Accepts links of peers.
 pub async fn accept(mesh: Rc<Mesh>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep_ms(ACCEPT_PAUSE_MS).await;
-            continue;
-        };
-        let task_mesh = mesh.clone();
-        mesh.spawn(async move {
-            let mut link = None;
-            let end = run_accepted(&task_mesh, stream, &mut link).await;
-            if let Some(link) = link {
-                task_mesh.links.accepted.borrow_mut().remove(&link);
-            }
-            if let Err(LinkEnd::OutOfOrder) = end {
-                log_event(Event::InputRefused, "reason=a link sent a message out of order");
-            }
-        });
+    let serve = |stream| serve(mesh.clone(), stream);
+    listener::serve_each(&mesh, listener, pending(), serve).await;
+}
+
+async fn serve(mesh: Rc<Mesh>, stream: TcpStream) {
+    let mut link = None;
+    let end = run_accepted(&mesh, stream, &mut link).await;
+    if let Some(link) = link {
+        mesh.links.accepted.borrow_mut().remove(&link);
+    }
+    if let Err(LinkEnd::OutOfOrder) = end {
+        log_event(Event::InputRefused, "reason=a link sent a message out of order");
     }
 }
 
--- a/crates/daemon/src/mesh/callers.rs
+++ b/crates/daemon/src/mesh/callers.rs
@@ -1,12 +1,9 @@
 //! The port where callers and the target beside this daemon send their requests.
 
-use super::{Mesh, request, sleep_ms};
-use crate::logging::log_event;
+use super::{Mesh, listener, request};
 use async_net::TcpListener;
 use bytes::Bytes;
-use futures_lite::future::or;
 use http::{Request, Response};
-use pomeloreach_core::event::Event;
 use pomeloreach_wire::h1::server::{self, ServerLimits, Service};
 use std::future::Future;
 use std::pin::Pin;
@@ -15,8 +12,6 @@
 /// The largest body that is held, whatever the configuration allows, in bytes: a VM may have no
 /// more than 100 MB.
 const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
-/// The pause after a failed accept, in milliseconds.
-const ACCEPT_PAUSE_MS: u64 = 50;
 
 /// Accepts connections for a service, as long as the daemon runs.
 pub async fn accept<S: Service + Clone + 'static>(
@@ -24,24 +19,12 @@
     listener: TcpListener,
     service: S,
 ) {
-    loop {
-        let stopped = async {
-            service.stopped().await;
-            None
-        };
-        let accepted = async { Some(listener.accept().await) };
-        let stream = match or(accepted, stopped).await {
-            None => return,
-            Some(Ok((stream, _))) => stream,
-            Some(Err(error)) => {
-                log_event(Event::AcceptFailed, &format!("reason={error}"));
-                sleep_ms(ACCEPT_PAUSE_MS).await;
-                continue;
-            }
-        };
-        let (executor, service) = (mesh.executor.clone(), service.clone());
-        mesh.spawn(async move { server::serve(&executor, stream, &service).await });
-    }
+    let executor = mesh.executor.clone();
+    let serve = |stream| {
+        let (executor, service) = (executor.clone(), service.clone());
+        async move { server::serve(&executor, stream, &service).await }
+    };
+    listener::serve_each(&mesh, listener, service.stopped(), serve).await;
 }
 
 /// Answers callers.
--- a/crates/daemon/src/mesh/control.rs
+++ b/crates/daemon/src/mesh/control.rs
@@ -11,12 +11,12 @@
 use pomeloreach_core::mesh::peers::Peer;
 use pomeloreach_core::mesh::state::{DaemonRecord, DaemonState};
 use pomeloreach_platform::control::{ControlCall, control_call, decode_heartbeat, decode_leave};
+use pomeloreach_wire::clock::unix_ms;
 use pomeloreach_wire::h1::server::{ServerLimits, Service};
 use serde::Serialize;
 use std::future::{Ready, ready};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// What may be sent to this port; a heartbeat has some hundred bytes.
 const LIMITS: ServerLimits = ServerLimits {
@@ -27,7 +27,7 @@
     idle_timeout_ms: 30_000,
 };
 
-/// Answers the target, the platform and operators.
+/// Answers the target, the platform and operators, to the daemon's end.
 #[derive(Clone)]
 pub struct Operators(pub Rc<Mesh>);
 
@@ -41,15 +41,6 @@
     fn limits(&self) -> ServerLimits {
         LIMITS
     }
-
-    fn is_leaving(&self) -> bool {
-        false
-    }
-
-    /// Heartbeats and questions are answered to the end.
-    fn stopped(&self) -> impl Future<Output = ()> {
-        std::future::pending()
-    }
 }
 
 fn handle(mesh: &Rc<Mesh>, request: &Request<Bytes>) -> Response<Bytes> {
@@ -89,8 +80,7 @@
     let heard = mesh.target.borrow_mut().hear(heartbeat, now_ms);
     if heard == Heard::Changed {
         log_event(Event::TargetAnnounced, &detail);
-        mesh.door.refresh(mesh);
-        mesh.links.report_now();
+        mesh.target_changed();
     }
     json(&serde_json::Map::new())
 }
@@ -103,17 +93,11 @@
     mesh.peers.borrow_mut().note_left(start.clone(), now_ms);
     log_event(Event::TargetLeft, &format!("target={id} born_unix_ms={born_unix_ms}"));
     if mesh.target.borrow_mut().leave(start, now_ms) {
-        mesh.door.refresh(mesh);
-        mesh.links.report_now();
+        mesh.target_changed();
     }
     empty(StatusCode::OK)
 }
 
-fn unix_ms() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// The state of the daemon, for people.
 #[derive(Serialize)]
 struct Dump {
--- a/crates/daemon/src/mesh/dialled.rs
+++ b/crates/daemon/src/mesh/dialled.rs
@@ -22,6 +22,7 @@
 /// After this long without a message the other daemon is taken for silent, in milliseconds: two
 /// heartbeats and the longest delay of a retransmission.
 const SILENT_MS: u64 = 2_600;
+/// The same for daemons of other regions.
 const FAR_SILENT_MS: u64 = 4_600;
 /// How often the daemon that opened a link shows that it lives, in milliseconds.
 const PING_MS: u64 = 2_500;
@@ -118,8 +119,7 @@
     for start in left {
         if mesh.target.borrow_mut().leave(start.clone(), now_ms) {
             log_event(Event::TargetLeft, &format!("target={} source=peer", start.id));
-            mesh.door.refresh(mesh);
-            mesh.links.report_now();
+            mesh.target_changed();
         }
         mesh.peers.borrow_mut().note_left(start, now_ms);
     }
--- a/crates/daemon/src/mesh/door.rs
+++ b/crates/daemon/src/mesh/door.rs
@@ -237,8 +237,7 @@
                 log_event(Event::TargetLapsed, "");
             }
             reported = target_state;
-            mesh.door.refresh(&mesh);
-            mesh.links.report_now();
+            mesh.target_changed();
         }
     }
 }
--- a/crates/daemon/src/mesh/hand_over.rs
+++ b/crates/daemon/src/mesh/hand_over.rs
@@ -21,6 +21,7 @@
 const IDLE_MS: u64 = 4_000;
 /// How much sooner than the target's own limit an idle connection is given up, in milliseconds.
 const IDLE_MARGIN_MS: u64 = 1_000;
+
 /// Hands a request to the target. An error says whether the request reached the target, and by its
 /// code whether it may have run.
 pub async fn hand_over(
@@ -82,8 +83,7 @@
     opened.map_err(|error| {
         log_event(Event::TargetUnreachable, &format!("reason={error}"));
         mesh.target.borrow_mut().unreachable();
-        mesh.door.refresh(mesh);
-        mesh.links.report_now();
+        mesh.target_changed();
         (ResultCode::TargetUnreachable, false)
     })
 }
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -61,9 +61,12 @@
         self.changed.notify(usize::MAX);
     }
 
-    pub fn send(&self, peer: &str, message: &LinkMessage) -> bool {
-        let out = self.out.borrow();
-        out.get(peer).is_some_and(|link| link.frames.try_send(encode(message)).is_ok())
+    /// Sends what does no harm if it is lost: a cancellation whose link is gone, or a question that
+    /// is asked again.
+    pub fn send(&self, peer: &str, message: &LinkMessage) {
+        if let Some(link) = self.out.borrow().get(peer) {
+            link.frames.try_send(encode(message)).ok();
+        }
     }
 }
 
@@ -90,7 +93,6 @@
 impl Drop for Sent {
     fn drop(&mut self) {
         if self.pending.borrow_mut().remove(&self.call).is_some() {
-            // A link that is gone has cancelled the call already.
             self.mesh.links.send(&self.peer, &LinkMessage::Cancel { call: self.call });
         }
     }
--- /dev/null
+++ b/crates/daemon/src/mesh/listener.rs
@@ -0,0 +1,33 @@
+//! Accepts connections, on whatever port.
+
+use super::Mesh;
+use crate::logging::log_event;
+use async_net::{TcpListener, TcpStream};
+use futures_lite::future::or;
+use pomeloreach_core::event::Event;
+use pomeloreach_wire::clock::sleep_ms;
+use std::future::Future;
+
+/// The pause after a failed accept, in milliseconds.
+const ACCEPT_PAUSE_MS: u64 = 50;
+
+/// Serves each connection in a task of its own, until `stopped` ends.
+pub async fn serve_each<F: Future<Output = ()> + 'static>(
+    mesh: &Mesh,
+    listener: TcpListener,
+    stopped: impl Future<Output = ()>,
+    serve: impl Fn(TcpStream) -> F,
+) {
+    let accepting = async {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => mesh.spawn(serve(stream)),
+                Err(error) => {
+                    log_event(Event::AcceptFailed, &format!("reason={error}"));
+                    sleep_ms(ACCEPT_PAUSE_MS).await;
+                }
+            }
+        }
+    };
+    or(accepting, stopped).await;
+}
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -13,16 +13,16 @@
 mod door;
 mod hand_over;
 mod links;
+mod listener;
 mod report;
 mod request;
 
 use crate::error::DaemonError;
 use crate::logging::log_event;
 use crate::settings::{MeshSettings, Settings};
+use crate::shared::{listen, random_seed};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
-use async_io::Timer;
-use async_net::TcpListener;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use pomeloreach_core::budget::RetryBudget;
@@ -35,14 +35,12 @@
 use pomeloreach_core::mesh::usual::UsualTimes;
 use pomeloreach_wire::clock::{Clock, sleep_ms};
 use rand_chacha::ChaCha8Rng;
-use rand_core::{OsRng, RngCore, SeedableRng, TryRngCore};
+use rand_core::{RngCore, SeedableRng};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// How long a stopping daemon goes on serving as before, in milliseconds: until callers are sent
 /// elsewhere after two missed readiness checks, one second apart. What is read later might not be
@@ -117,6 +115,12 @@
         self.target.borrow().state(self.now_ms())
     }
 
+    /// Makes a change of the target known: to the door, and to all peers at once.
+    pub fn target_changed(&self) {
+        self.door.refresh(self);
+        self.links.report_now();
+    }
+
     /// The target beside this daemon, as peers are told of it.
     pub fn target_summary(&self) -> Option<TargetSummary> {
         let target = self.target.borrow();
@@ -166,8 +170,7 @@
     let caller_listener = listen(settings.caller_addr).await?;
     let operator_listener = listen(settings.operator_addr).await?;
     let ready_listener = listen(mesh_settings.ready_addr).await?;
-    let seed = OsRng.try_next_u64().map_err(|error| DaemonError::Random(error.to_string()))?;
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut rng = ChaCha8Rng::seed_from_u64(random_seed()?);
     let own = DaemonRecord {
         name: settings.name.clone(),
         start_id: rng.next_u64() >> START_ID_SHIFT,
@@ -221,10 +224,6 @@
     Ok(())
 }
 
-async fn listen(addr: SocketAddr) -> Result<TcpListener, DaemonError> {
-    TcpListener::bind(addr).await.map_err(|source| DaemonError::Listen { addr, source })
-}
-
 /// Takes over the settings that can change while the daemon runs. A file that cannot be used is
 /// logged and leaves the settings as they were.
 fn reload(mesh: &Rc<Mesh>, path: &Path) {
@@ -243,7 +242,7 @@
 async fn watch_settings(mesh: Rc<Mesh>, path: PathBuf) {
     let mut read = std::fs::read(&path).ok();
     loop {
-        Timer::after(Duration::from_millis(SETTINGS_LOOK_MS)).await;
+        sleep_ms(SETTINGS_LOOK_MS).await;
         let now = std::fs::read(&path).ok();
         if now != read {
             read = now;
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -324,7 +324,7 @@
 
     fn budget_limits(&self) -> BudgetLimits {
         let settings = self.mesh.mesh_settings.borrow();
-        let daemons = self.mesh.peers.borrow().all().count() + 1;
+        let daemons = self.mesh.peers.borrow().daemons();
         let share = settings.retry_slack * SLACK_SHARE / daemons as f64;
         let window_s = settings.retry_window_ms as f64 / 1_000.0;
         BudgetLimits {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -21,7 +21,7 @@
 use pomeloreach_core::matching::RouteTable;
 use pomeloreach_core::message::RelayInfo;
 use pomeloreach_core::node::{Input, Node, NodeSettings};
-use pomeloreach_wire::clock::{Clock, sleep_ms};
+use pomeloreach_wire::clock::{Clock, sleep_ms, unix_ms};
 use rand_chacha::ChaCha8Rng;
 use rand_core::{OsRng, RngCore, SeedableRng, TryRngCore};
 use serde::Serialize;
@@ -29,7 +29,6 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Inputs that may wait for the control loop.
 const INPUTS_MAX: usize = 8_192;
@@ -87,13 +86,11 @@
     }
 
     fn note_in_force(&self, version: u64) {
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let unix_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
         let mut in_force = lock(&self.in_force);
         if in_force.len() >= IN_FORCE_KEPT {
             in_force.pop_front();
         }
-        in_force.push_back(InForce { version, unix_ms });
+        in_force.push_back(InForce { version, unix_ms: unix_ms() });
     }
 
     pub fn in_force(&self) -> Vec<InForce> {
@@ -146,7 +143,7 @@
     let callers = listen(settings.caller_addr).await?;
     let operators = listen(settings.operator_addr).await?;
     let (inputs, received) = async_channel::bounded(INPUTS_MAX);
-    let mut rng = ChaCha8Rng::seed_from_u64(random_seed());
+    let mut rng = ChaCha8Rng::seed_from_u64(random_seed()?);
     let own = own_info(&settings, &mut rng);
     let clock = Clock::default();
     let balancer = Balancer::new(own.region.clone(), own.zone.clone(), rng.next_u64());
@@ -184,12 +181,12 @@
     Ok(())
 }
 
-async fn listen(addr: SocketAddr) -> Result<TcpListener, DaemonError> {
+pub async fn listen(addr: SocketAddr) -> Result<TcpListener, DaemonError> {
     TcpListener::bind(addr).await.map_err(|source| DaemonError::Listen { addr, source })
 }
 
-fn random_seed() -> u64 {
-    OsRng.try_next_u64().expect("the system gives random numbers")
+pub fn random_seed() -> Result<u64, DaemonError> {
+    OsRng.try_next_u64().map_err(|error| DaemonError::Random(error.to_string()))
 }
 
 /// Each start has an instance name of its own, so that a successor is never taken for it.
--- a/crates/wire/src/clock.rs
+++ b/crates/wire/src/clock.rs
@@ -1,7 +1,7 @@
 //! The one place where a process reads the time.
 
 use std::future::Future;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Milliseconds since the process started, from the runtime's monotonic clock.
 #[derive(Clone, Copy, Debug)]
@@ -21,6 +21,12 @@
     }
 }
 
+/// Milliseconds since the Unix epoch, by the time of day, which may jump.
+pub fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
+
 pub async fn sleep_ms(ms: u64) {
     async_io::Timer::after(Duration::from_millis(ms)).await;
 }
--- a/crates/wire/src/h1/server.rs
+++ b/crates/wire/src/h1/server.rs
@@ -40,10 +40,14 @@
     fn limits(&self) -> ServerLimits;
 
     /// Whether connections are to be closed with their next answer.
-    fn is_leaving(&self) -> bool;
+    fn is_leaving(&self) -> bool {
+        false
+    }
 
     /// Ends when no further requests are to be read.
-    fn stopped(&self) -> impl Future<Output = ()>;
+    fn stopped(&self) -> impl Future<Output = ()> {
+        pending()
+    }
 }
 
 /// A request that was read, in the order of the answers.
--- a/crates/wire/tests/http_server.rs
+++ b/crates/wire/tests/http_server.rs
@@ -49,10 +49,6 @@
     fn is_leaving(&self) -> bool {
         self.leaving.get()
     }
-
-    fn stopped(&self) -> impl Future<Output = ()> {
-        std::future::pending()
-    }
 }
 
 /// Sends bytes to a server, and returns all that comes back until the connection ends.
