One type for what became of a request at a door

The door's answer, the answer on a link and an attempt had the same five fields and were copied into each other; the request's id was carried beside the headers that hold it.

--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -4,6 +4,7 @@
 //! sends its state, answers and row changes.
 
 use crate::call::{CallRequest, CallResponse};
+use crate::code::ResultCode;
 use crate::mesh::heartbeat::TargetStart;
 use crate::mesh::state::{DaemonRecord, DaemonState, TargetLoad};
 use bytes::Bytes;
@@ -44,10 +45,16 @@
     },
 }
 
-/// A request for the target beside the other daemon.
+/// A request for the door of a target, over a link.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Call {
     pub call: u64,
+    pub request: DoorRequest,
+}
+
+/// A request for the door of a target.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct DoorRequest {
     pub request: CallRequest,
     pub terms: CallTerms,
     pub body: Bytes,
@@ -69,6 +76,13 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Answer {
     pub call: u64,
+    pub answer: DoorAnswer,
+    pub load: TargetLoad,
+}
+
+/// What became of a request at the door of a target.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct DoorAnswer {
     pub response: CallResponse,
     /// Whether the request reached the target, which may have refused it.
     pub reached_target: bool,
@@ -76,6 +90,13 @@
     pub retry_after_ms: u32,
     /// How long the request took at the target, in milliseconds; absent if it did not run.
     pub service_ms: Option<u32>,
-    pub load: TargetLoad,
     pub body: Bytes,
 }
+
+impl DoorAnswer {
+    /// The end of an attempt that the door never answered.
+    pub fn failed(code: ResultCode, reached_target: bool) -> Self {
+        let response = CallResponse::refusal(code, 0);
+        Self { response, reached_target, retry_after_ms: 0, service_ms: None, body: Bytes::new() }
+    }
+}
--- a/crates/daemon/src/mesh/accepted.rs
+++ b/crates/daemon/src/mesh/accepted.rs
@@ -1,7 +1,7 @@
 //! The links that peers opened: their calls for the target beside this daemon come in on them.
 
-use super::door::{self, Cancel, DoorCall};
-use super::links::{InLink, LinkEnd, OPEN_MS, WAITING_MAX, encode, learn, read, request_id, write};
+use super::door::{self, Cancel};
+use super::links::{InLink, LinkEnd, OPEN_MS, WAITING_MAX, encode, learn, read, write};
 use super::{Mesh, listener};
 use crate::logging::log_event;
 use async_channel::Sender;
@@ -93,24 +93,16 @@
     running: &Rc<RefCell<BTreeMap<u64, Cancel>>>,
     frames: &Sender<Bytes>,
 ) {
-    let Call { call: number, request, terms, body } = call;
-    let request_id = request_id(&request);
-    let (answer, cancel) = door::submit(mesh, DoorCall { request, terms, body, request_id });
-    running.borrow_mut().insert(number, cancel);
+    let Call { call, request } = call;
+    let (answered, cancel) = door::submit(mesh, request);
+    running.borrow_mut().insert(call, cancel);
     let (mesh, running, frames) = (mesh.clone(), running.clone(), frames.clone());
     mesh.clone().spawn(async move {
-        let answered = answer.recv().await;
-        running.borrow_mut().remove(&number);
-        let Ok(answered) = answered else { return };
-        let message = LinkMessage::Answer(Answer {
-            call: number,
-            response: answered.response,
-            reached_target: answered.reached_target,
-            retry_after_ms: answered.retry_after_ms,
-            service_ms: answered.service_ms,
-            load: mesh.door.load(mesh.now_ms()),
-            body: answered.body,
-        });
+        let answered = answered.recv().await;
+        running.borrow_mut().remove(&call);
+        let Ok(answer) = answered else { return };
+        let load = mesh.door.load(mesh.now_ms());
+        let message = LinkMessage::Answer(Answer { call, answer, load });
         if frames.try_send(encode(&message)).is_err() {
             // The peer learns from the end of the link that it need not wait.
             frames.close();
--- a/crates/daemon/src/mesh/attempt.rs
+++ b/crates/daemon/src/mesh/attempt.rs
@@ -1,90 +1,43 @@
 //! One attempt of a request: at the door of this daemon, or over a link at a peer's.
 
-use super::door::{self, DoorCall};
-use super::{Mesh, links};
-use bytes::Bytes;
-use pomeloreach_core::call::{CallRequest, CallResponse};
+use super::{Mesh, door, links};
 use pomeloreach_core::code::ResultCode;
-use pomeloreach_core::mesh::message::{Call, CallTerms};
+use pomeloreach_core::mesh::message::{DoorAnswer, DoorRequest};
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// One attempt.
-pub struct Job {
-    pub mesh: Rc<Mesh>,
-    /// The daemon beside the target; absent for the target beside this one.
-    pub peer: Option<Arc<str>>,
-    pub request: CallRequest,
-    pub terms: CallTerms,
-    pub body: Bytes,
-    pub request_id: Arc<str>,
-}
-
-impl Job {
-    pub async fn run(self) -> Attempt {
-        match self.peer.clone() {
-            None => self.run_here().await,
-            Some(peer) => self.run_there(&peer).await,
-        }
-    }
-
-    async fn run_here(self) -> Attempt {
-        let Self { mesh, request, terms, body, request_id, .. } = self;
-        let call = DoorCall { request, terms, body, request_id };
-        let (answer, _cancel_on_drop) = door::submit(&mesh, call);
-        match answer.recv().await {
-            Ok(answer) => Attempt {
-                response: answer.response,
-                body: answer.body,
-                reached_target: answer.reached_target,
-                retry_after_ms: answer.retry_after_ms.into(),
-                service_ms: answer.service_ms,
-            },
-            Err(_) => Attempt::failed(ResultCode::AnswerLost, true),
-        }
-    }
-
-    async fn run_there(self, peer: &Arc<str>) -> Attempt {
-        let Self { mesh, request, terms, body, .. } = self;
-        let Some(sent) = links::call(&mesh, peer, Call { call: 0, request, terms, body }) else {
-            return Attempt::failed(ResultCode::TargetUnreachable, false);
-        };
-        let mut outstanding = Outstanding::new(&mesh, peer);
-        let Some(answer) = sent.answer().await else {
-            outstanding.is_lost = true;
-            return Attempt::failed(ResultCode::AnswerLost, true);
-        };
-        let is_gone = matches!(
-            answer.response.code,
-            ResultCode::TargetDraining | ResultCode::WrongInstance | ResultCode::TargetUnreachable
-        );
-        if is_gone {
-            mesh.peers.borrow_mut().target_refused(peer);
-        }
-        Attempt {
-            response: answer.response,
-            body: answer.body,
-            reached_target: answer.reached_target,
-            retry_after_ms: answer.retry_after_ms.into(),
-            service_ms: answer.service_ms,
-        }
+/// Makes one attempt at the target beside a peer, or beside this daemon if no peer is named.
+/// Dropping the future cancels it.
+pub async fn make(mesh: Rc<Mesh>, peer: Option<Arc<str>>, request: DoorRequest) -> DoorAnswer {
+    match peer {
+        None => make_here(&mesh, request).await,
+        Some(peer) => make_there(&mesh, &peer, request).await,
     }
 }
 
-/// What became of one attempt.
-pub struct Attempt {
-    pub response: CallResponse,
-    pub body: Bytes,
-    pub reached_target: bool,
-    pub retry_after_ms: u64,
-    pub service_ms: Option<u32>,
+async fn make_here(mesh: &Rc<Mesh>, request: DoorRequest) -> DoorAnswer {
+    let (answer, _cancel_on_drop) = door::submit(mesh, request);
+    let answer = answer.recv().await;
+    answer.unwrap_or_else(|_| DoorAnswer::failed(ResultCode::AnswerLost, true))
 }
 
-impl Attempt {
-    pub fn failed(code: ResultCode, reached_target: bool) -> Self {
-        let response = CallResponse::refusal(code, 0);
-        Self { response, body: Bytes::new(), reached_target, retry_after_ms: 0, service_ms: None }
+async fn make_there(mesh: &Rc<Mesh>, peer: &Arc<str>, request: DoorRequest) -> DoorAnswer {
+    let Some(sent) = links::call(mesh, peer, request) else {
+        return DoorAnswer::failed(ResultCode::TargetUnreachable, false);
+    };
+    let mut outstanding = Outstanding::new(mesh, peer);
+    let Some(answer) = sent.answer().await else {
+        outstanding.is_lost = true;
+        return DoorAnswer::failed(ResultCode::AnswerLost, true);
+    };
+    let is_gone = matches!(
+        answer.response.code,
+        ResultCode::TargetDraining | ResultCode::WrongInstance | ResultCode::TargetUnreachable
+    );
+    if is_gone {
+        mesh.peers.borrow_mut().target_refused(peer);
     }
+    answer
 }
 
 /// Counts a call at a peer until it ends, however it ends.
--- a/crates/daemon/src/mesh/door.rs
+++ b/crates/daemon/src/mesh/door.rs
@@ -7,11 +7,11 @@
 use bytes::Bytes;
 use futures_lite::future::{or, pending};
 use pomeloreach_core::admission::{Admission, Admit, Arrival};
-use pomeloreach_core::call::{CallRequest, CallResponse};
+use pomeloreach_core::call::CallResponse;
 use pomeloreach_core::code::ResultCode;
 use pomeloreach_core::endpoint::TargetState;
 use pomeloreach_core::event::Event;
-use pomeloreach_core::mesh::message::CallTerms;
+use pomeloreach_core::mesh::message::{DoorAnswer, DoorRequest};
 use pomeloreach_core::mesh::state::TargetLoad;
 use pomeloreach_wire::clock::sleep_ms;
 use pomeloreach_wire::h1::client::Connection;
@@ -36,26 +36,6 @@
 /// How often waits are looked at for passed deadlines, in milliseconds.
 const LOOK_MS: u64 = 25;
 
-/// A request for the target.
-pub struct DoorCall {
-    pub request: CallRequest,
-    pub terms: CallTerms,
-    pub body: Bytes,
-    /// The id that the target's answer must bear.
-    pub request_id: std::sync::Arc<str>,
-}
-
-/// What became of a request.
-#[derive(Clone, Debug)]
-pub struct DoorAnswer {
-    pub response: CallResponse,
-    pub reached_target: bool,
-    pub retry_after_ms: u32,
-    /// How long the request took at the target, in milliseconds; absent if it did not run.
-    pub service_ms: Option<u32>,
-    pub body: Bytes,
-}
-
 /// A connection to the target that waits for its next request.
 pub struct Kept {
     pub connection: Connection,
@@ -191,7 +171,7 @@
 }
 
 /// Hands a request to the door, and returns where its answer will come.
-pub fn submit(mesh: &Rc<Mesh>, call: DoorCall) -> (Receiver<DoorAnswer>, Cancel) {
+pub fn submit(mesh: &Rc<Mesh>, call: DoorRequest) -> (Receiver<DoorAnswer>, Cancel) {
     let (open, cancelled) = async_channel::bounded::<()>(1);
     let (reply, answer) = async_channel::bounded(1);
     let task_mesh = mesh.clone();
@@ -275,7 +255,7 @@
     }
 }
 
-async fn run(mesh: &Rc<Mesh>, call: DoorCall, has_begun: &Cell<bool>) -> DoorAnswer {
+async fn run(mesh: &Rc<Mesh>, call: DoorRequest, has_begun: &Cell<bool>) -> DoorAnswer {
     let now_ms = mesh.now_ms();
     let deadline_ms = now_ms + call.request.deadline_ms;
     let is_current =
@@ -329,7 +309,7 @@
 
 async fn enter<'a>(
     mesh: &'a Rc<Mesh>,
-    call: &DoorCall,
+    call: &DoorRequest,
     now_ms: u64,
     deadline_ms: u64,
 ) -> Result<Place<'a>, ResultCode> {
--- a/crates/daemon/src/mesh/hand_over.rs
+++ b/crates/daemon/src/mesh/hand_over.rs
@@ -1,19 +1,21 @@
 //! Hands requests to the target on kept connections, and judges its answers.
 
 use super::Mesh;
-use super::door::{DoorCall, Kept};
+use super::door::Kept;
 use crate::logging::log_event;
 use bytes::Bytes;
 use http::header::{HeaderName, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use pomeloreach_core::call::{BODY_BYTES_MAX, Header};
+use pomeloreach_core::call::{BODY_BYTES_MAX, CallRequest, Header};
 use pomeloreach_core::code::ResultCode;
 use pomeloreach_core::event::Event;
+use pomeloreach_core::mesh::message::DoorRequest;
 use pomeloreach_platform::headers;
 use pomeloreach_wire::clock::within_ms;
 use pomeloreach_wire::h1::client::{Connection, ExchangeError};
 use pomeloreach_wire::h1::{self, MessageError};
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// How long opening a connection to a target on the same VM may take, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 500;
@@ -26,17 +28,18 @@
 /// code whether it may have run.
 pub async fn hand_over(
     mesh: &Rc<Mesh>,
-    call: &DoorCall,
+    call: &DoorRequest,
     deadline_ms: u64,
 ) -> Result<Response<Bytes>, (ResultCode, bool)> {
     let mut connection = connect(mesh).await?;
     let left_ms = deadline_ms.saturating_sub(mesh.now_ms());
     let request = target_request(call, left_ms).ok_or((ResultCode::RequestCut, false))?;
-    let is_stray = |answer: &HeaderMap| headers::target_head(answer, &call.request_id).is_stray;
+    let request_id = request_id(&call.request);
+    let is_stray = |answer: &HeaderMap| headers::target_head(answer, &request_id).is_stray;
     let exchange = connection.exchange(&request, BODY_BYTES_MAX, is_stray);
     match within_ms(left_ms, exchange).await {
         None => Err((ResultCode::DeadlineAfterRun, true)),
-        Some(Ok(answer)) => accept(mesh, call, connection, answer),
+        Some(Ok(answer)) => accept(mesh, &request_id, connection, answer),
         Some(Err(ExchangeError::NoAnswer(MessageError::Ended | MessageError::Broken(_)))) => {
             Err((ResultCode::AnswerLost, true))
         }
@@ -47,11 +50,11 @@
 /// Judges an answer, and keeps the connection if it can carry another request.
 fn accept(
     mesh: &Rc<Mesh>,
-    call: &DoorCall,
+    request_id: &str,
     connection: Connection,
     answer: Response<Bytes>,
 ) -> Result<Response<Bytes>, (ResultCode, bool)> {
-    let said = headers::target_head(answer.headers(), &call.request_id);
+    let said = headers::target_head(answer.headers(), request_id);
     if answer.status() == StatusCode::MISDIRECTED_REQUEST {
         mesh.target.borrow_mut().unreachable();
         return Err((ResultCode::WrongInstance, true));
@@ -97,7 +100,7 @@
     seconds.map_or(IDLE_MS, |seconds| (seconds * 1_000).saturating_sub(IDLE_MARGIN_MS))
 }
 
-fn target_request(call: &DoorCall, left_ms: u64) -> Option<Request<Bytes>> {
+fn target_request(call: &DoorRequest, left_ms: u64) -> Option<Request<Bytes>> {
     let mut request = Request::new(call.body.clone());
     *request.method_mut() = call.request.method.parse::<Method>().ok()?;
     *request.uri_mut() = call.request.path.parse::<Uri>().ok()?;
@@ -123,3 +126,9 @@
     }
     passed
 }
+
+/// The id that the caller gave its request.
+fn request_id(request: &CallRequest) -> Arc<str> {
+    let id = request.headers.iter().find(|header| headers::is_request_id(&header.name));
+    id.map(|header| header.value.clone()).unwrap_or_default()
+}
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -10,9 +10,8 @@
 use event_listener::Event as Notify;
 use futures_lite::io::BufReader;
 use futures_lite::{AsyncWriteExt, StreamExt};
-use pomeloreach_core::mesh::message::{Answer, Call, LinkMessage};
+use pomeloreach_core::mesh::message::{Answer, Call, DoorAnswer, DoorRequest, LinkMessage};
 use pomeloreach_core::mesh::state::DaemonRecord;
-use pomeloreach_platform::headers;
 use pomeloreach_wire::clock::within_ms;
 use pomeloreach_wire::frame::{self, FrameError};
 use std::cell::{Cell, RefCell};
@@ -85,8 +84,8 @@
 
 impl Sent {
     /// Waits for the answer. Nothing comes if the link breaks.
-    pub async fn answer(&self) -> Option<Answer> {
-        self.answer.recv().await.ok()
+    pub async fn answer(&self) -> Option<DoorAnswer> {
+        Some(self.answer.recv().await.ok()?.answer)
     }
 }
 
@@ -99,23 +98,22 @@
 }
 
 /// Sends a call to a peer. Without a link nothing was sent.
-pub fn call(mesh: &Rc<Mesh>, peer: &Arc<str>, mut call: Call) -> Option<Sent> {
+pub fn call(mesh: &Rc<Mesh>, peer: &Arc<str>, request: DoorRequest) -> Option<Sent> {
     let links = &mesh.links;
-    links.next_call.set(links.next_call.get() + 1);
-    call.call = links.next_call.get();
+    let call = links.next_call.get() + 1;
+    links.next_call.set(call);
     let (reply, answer) = async_channel::bounded(1);
-    let number = call.call;
     let pending = {
         let out = links.out.borrow();
         let link = out.get(peer)?;
-        link.pending.borrow_mut().insert(number, reply);
-        if link.frames.try_send(encode(&LinkMessage::Call(call))).is_err() {
-            link.pending.borrow_mut().remove(&number);
+        link.pending.borrow_mut().insert(call, reply);
+        if link.frames.try_send(encode(&LinkMessage::Call(Call { call, request }))).is_err() {
+            link.pending.borrow_mut().remove(&call);
             return None;
         }
         link.pending.clone()
     };
-    Some(Sent { mesh: mesh.clone(), peer: peer.clone(), call: number, pending, answer })
+    Some(Sent { mesh: mesh.clone(), peer: peer.clone(), call, pending, answer })
 }
 
 pub type Reader = BufReader<TcpStream>;
@@ -168,9 +166,3 @@
         peers.learn(record, false, now_ms);
     }
 }
-
-/// The id that the caller gave its request.
-pub fn request_id(request: &pomeloreach_core::call::CallRequest) -> Arc<str> {
-    let id = request.headers.iter().find(|header| headers::is_request_id(&header.name));
-    id.map(|header| header.value.clone()).unwrap_or_default()
-}
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -2,7 +2,7 @@
 
 use super::Mesh;
 use super::answer::{Reply, pass_on, refuse};
-use super::attempt::{Attempt, Job};
+use super::attempt;
 use super::hand_over::passed_headers;
 use crate::logging::log_event;
 use async_channel::{Receiver, Sender};
@@ -16,7 +16,7 @@
 use pomeloreach_core::code::{Outcome, ResultCode};
 use pomeloreach_core::event::Event;
 use pomeloreach_core::matching::MatchedRoute;
-use pomeloreach_core::mesh::message::CallTerms;
+use pomeloreach_core::mesh::message::{CallTerms, DoorAnswer, DoorRequest};
 use pomeloreach_core::mesh::placer::{self, Ask, Choice};
 use pomeloreach_core::mesh::usual::UsualTimes;
 use pomeloreach_platform::headers;
@@ -147,19 +147,19 @@
                 Err(_) => false,
             };
             let may_stall = has_begun && self.may_repeat();
-            let Some(attempt) = self.next_result(&ended, may_stall).await else {
+            let Some(answer) = self.next_answer(&ended, may_stall).await else {
                 self.suspect(now_ms);
                 continue;
             };
             self.running -= 1;
-            if let Some(result) = self.take(attempt) {
+            if let Some(result) = self.take(answer) {
                 return result;
             }
         }
     }
 
     /// Begins another attempt, or says why there is none.
-    fn begin(&mut self, now_ms: u64, results: &Sender<Attempt>) -> Result<Task<()>, ResultCode> {
+    fn begin(&mut self, now_ms: u64, results: &Sender<DoorAnswer>) -> Result<Task<()>, ResultCode> {
         if self.running > 0 && !self.may_repeat() {
             return Err(ResultCode::DeadlineAfterRun);
         }
@@ -179,12 +179,12 @@
             return Err(ResultCode::RetryBudgetSpent);
         }
         self.tried.insert(peer.clone().unwrap_or_else(|| self.mesh.own.name.clone()));
-        let job = self.job(peer, target_id, now_ms);
-        let results = results.clone();
+        let request = self.door_request(target_id, now_ms);
+        let (mesh, results) = (self.mesh.clone(), results.clone());
         Ok(self.mesh.executor.spawn(async move {
-            let attempt = job.run().await;
+            let answer = attempt::make(mesh, peer, request).await;
             // The request may have ended meanwhile.
-            results.try_send(attempt).ok();
+            results.try_send(answer).ok();
         }))
     }
 
@@ -197,7 +197,7 @@
         }
     }
 
-    fn job(&self, peer: Option<Arc<str>>, target_id: Arc<str>, now_ms: u64) -> Job {
+    fn door_request(&self, target_id: Arc<str>, now_ms: u64) -> DoorRequest {
         let mut request = self.request.clone();
         request.instance = target_id;
         request.deadline_ms = self.deadline_ms - now_ms;
@@ -207,8 +207,7 @@
             is_idempotent: self.route.route.idempotent,
             service_ms: self.usual().service_ms.map(|ms| ms as u32),
         };
-        let (body, request_id) = (self.body.clone(), self.request_id.clone());
-        Job { mesh: self.mesh.clone(), peer, request, terms, body, request_id }
+        DoorRequest { request, terms, body: self.body.clone() }
     }
 
     /// Whether another target may be asked while the running attempts go on.
@@ -217,7 +216,11 @@
     }
 
     /// Waits for the end of an attempt, for as long as it has before another one begins.
-    async fn next_result(&self, ended: &Receiver<Attempt>, may_repeat: bool) -> Option<Attempt> {
+    async fn next_answer(
+        &self,
+        ended: &Receiver<DoorAnswer>,
+        may_repeat: bool,
+    ) -> Option<DoorAnswer> {
         let left_ms = self.deadline_ms.saturating_sub(self.mesh.now_ms());
         let patience_ms = if may_repeat { self.patience_ms(left_ms) } else { left_ms };
         within_ms(patience_ms, ended.recv()).await?.ok()
@@ -258,18 +261,18 @@
     }
 
     /// Takes in what became of an attempt. Returns how the request ends, if it ends.
-    fn take(&mut self, attempt: Attempt) -> Option<Result<Reply, ResultCode>> {
-        let code = attempt.response.code;
-        self.reached += usize::from(attempt.reached_target);
-        if let Some(service_ms) = attempt.service_ms {
+    fn take(&mut self, answer: DoorAnswer) -> Option<Result<Reply, ResultCode>> {
+        let code = answer.response.code;
+        self.reached += usize::from(answer.reached_target);
+        if let Some(service_ms) = answer.service_ms {
             self.note(|usual| usual.note_service(service_ms.into()));
         }
-        self.retry_after_ms = self.retry_after_ms.max(attempt.retry_after_ms);
+        self.retry_after_ms = self.retry_after_ms.max(answer.retry_after_ms.into());
         let goes_on = self.running > 0 || self.may_repeat();
         match code.outcome() {
             Outcome::Answered => {
-                let status = attempt.response.http_status;
-                let reply = Reply { response: attempt.response, body: attempt.body };
+                let status = answer.response.http_status;
+                let reply = Reply { response: answer.response, body: answer.body };
                 if status < 500 || !goes_on {
                     return Some(Ok(reply));
                 }
