Decisions over a request's attempts stand in core, with the loads that they answer

Cause: when an attempt is repeated or hedged was decided beside its channels, where no test without processes could reach it. Behaviour is unchanged.

--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -3,6 +3,7 @@
 //! No daemon has a role here. Each one holds a table of its peers, the requests' path chooses from
 //! that table, and any daemon that holds a newer configuration hands it on. See `docs/MESH.md`.
 
+pub mod attempts;
 pub mod delta;
 pub mod heartbeat;
 pub mod message;
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -5,7 +5,7 @@
 use super::attempt;
 use super::hand_over::passed_headers;
 use crate::logging::log_event;
-use async_channel::{Receiver, Sender};
+use async_channel::Sender;
 use async_executor::Task;
 use bytes::Bytes;
 use http::Response;
@@ -13,15 +13,15 @@
 use http::request::Parts;
 use pomeloreach_core::budget::{BudgetLimits, RetryBudget};
 use pomeloreach_core::call::CallRequest;
-use pomeloreach_core::code::{Outcome, ResultCode};
+use pomeloreach_core::code::ResultCode;
 use pomeloreach_core::event::Event;
 use pomeloreach_core::matching::MatchedRoute;
+use pomeloreach_core::mesh::attempts::{self, AttemptEnd, Attempts, Next, Terms};
 use pomeloreach_core::mesh::message::{CallTerms, DoorAnswer, DoorRequest};
 use pomeloreach_core::mesh::placer::{self, Ask, Choice};
 use pomeloreach_core::mesh::usual::UsualTimes;
 use pomeloreach_platform::headers;
 use pomeloreach_wire::clock::within_ms;
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -30,16 +30,6 @@
 const RETRY_PERCENT: u8 = 12;
 /// The part of the platform's slack for retries that the daemons spend without traffic.
 const SLACK_SHARE: f64 = 0.3;
-/// Doors that are asked for one request, also those that refuse it.
-const DOORS_MAX: usize = 4;
-/// An attempt that takes this many times the usual time of its route has stalled.
-const STALLED_TIMES: f64 = 4.0;
-/// The share of the time left that an attempt has in any case.
-const STALLED_SHARE_MIN: f64 = 0.3;
-/// The share of the time left that an attempt has while no usual time is known.
-const STALLED_SHARE_UNKNOWN: f64 = 0.5;
-/// The usual times that a further attempt must have left.
-const RETRY_TIMES: f64 = 1.5;
 /// The shortest time after which a refused caller is asked to come back, in milliseconds.
 const RETRY_AFTER_MS_MIN: u64 = 40;
 /// The time after which a caller is asked to come back when no target is known, in milliseconds.
@@ -50,19 +40,12 @@
     mesh: &'a Rc<Mesh>,
     route: &'a MatchedRoute,
     service: Arc<str>,
-    attempts_max: usize,
+    attempts: Attempts,
     request_id: Arc<str>,
     request: CallRequest,
     body: Bytes,
-    /// Attempts that have not ended.
-    running: usize,
     arrived_ms: u64,
     goal_ms: u64,
-    deadline_ms: u64,
-    tried: BTreeSet<Arc<str>>,
-    /// Targets that the request reached.
-    reached: usize,
-    may_have_run: Option<ResultCode>,
     /// A target's own failure, which is passed on if nothing better comes.
     failure: Option<Reply>,
     retry_after_ms: u64,
@@ -82,21 +65,18 @@
     let allowed_ms = u64::from(route.route.deadline_ms);
     let deadline_ms = arrived_ms + said.deadline_ms.unwrap_or(allowed_ms).min(allowed_ms);
     let goal_ms = route.route.target_latency_ms.map_or(allowed_ms, u64::from);
+    let attempts_max = route.route.attempts_max.unwrap_or(part.pool.attempts_max).into();
+    let is_idempotent = route.route.idempotent;
     let mut serving = Serving {
         mesh,
         route,
         service: part.pool.service,
-        attempts_max: route.route.attempts_max.unwrap_or(part.pool.attempts_max).into(),
+        attempts: Attempts::new(Terms { is_idempotent, attempts_max, deadline_ms }),
         request: call_request(mesh, &head, &body),
         request_id: said.request_id,
         body,
-        running: 0,
         arrived_ms,
         goal_ms: (arrived_ms + goal_ms).min(deadline_ms),
-        deadline_ms,
-        tried: BTreeSet::new(),
-        reached: 0,
-        may_have_run: None,
         failure: None,
         retry_after_ms: 0,
     };
@@ -129,29 +109,26 @@
     /// Makes attempts until one answers or no other can. An attempt that stalls goes on beside the
     /// next one, so that nothing that still may come is given up.
     async fn run(&mut self) -> Result<Reply, ResultCode> {
-        let (results, ended) = async_channel::bounded(DOORS_MAX);
+        let (results, ended) = async_channel::bounded(attempts::DAEMONS_MAX);
         // Dropping a task cancels its attempt.
         let mut tasks: Vec<Task<()>> = Vec::new();
         loop {
             let now_ms = self.mesh.now_ms();
-            if now_ms >= self.deadline_ms {
+            if self.attempts.left_ms(now_ms) == 0 {
                 return self.end(ResultCode::DeadlineBeforeRun);
             }
-            let has_begun = match self.begin(now_ms, &results) {
+            let patience_ms = match self.begin(now_ms, &results) {
                 Ok(task) => {
                     tasks.push(task);
-                    self.running += 1;
-                    true
+                    self.attempts.patience_ms(now_ms, self.usual().answer_ms)
                 }
-                Err(code) if self.running == 0 => return self.end(code),
-                Err(_) => false,
+                Err(code) if self.attempts.running() == 0 => return self.end(code),
+                Err(_) => self.attempts.left_ms(now_ms),
             };
-            let may_stall = has_begun && self.may_repeat();
-            let Some(answer) = self.next_answer(&ended, may_stall).await else {
+            let Some(Ok(answer)) = within_ms(patience_ms, ended.recv()).await else {
                 self.suspect(now_ms);
                 continue;
             };
-            self.running -= 1;
             if let Some(result) = self.take(answer) {
                 return result;
             }
@@ -160,7 +137,7 @@
 
     /// Begins another attempt, or says why there is none.
     fn begin(&mut self, now_ms: u64, results: &Sender<DoorAnswer>) -> Result<Task<()>, ResultCode> {
-        if self.running > 0 && !self.may_repeat() {
+        if !self.attempts.may_begin() {
             return Err(ResultCode::DeadlineAfterRun);
         }
         let (peer, target_id) = match self.choose(now_ms) {
@@ -175,10 +152,10 @@
                 return Err(ResultCode::NoTarget);
             }
         };
-        if self.reached + self.running > 0 && !self.spend_retry(now_ms) {
+        if self.attempts.is_retry() && !self.spend_retry(now_ms) {
             return Err(ResultCode::RetryBudgetSpent);
         }
-        self.tried.insert(peer.clone().unwrap_or_else(|| self.mesh.own.name.clone()));
+        self.attempts.began(peer.clone().unwrap_or_else(|| self.mesh.own.name.clone()));
         let request = self.door_request(target_id, now_ms);
         let (mesh, results) = (self.mesh.clone(), results.clone());
         Ok(self.mesh.executor.spawn(async move {
@@ -192,7 +169,7 @@
     fn suspect(&self, began_ms: u64) {
         let now_ms = self.mesh.now_ms();
         let mut peers = self.mesh.peers.borrow_mut();
-        for name in &self.tried {
+        for name in self.attempts.tried() {
             peers.suspect(name, began_ms, now_ms);
         }
     }
@@ -200,7 +177,7 @@
     fn door_request(&self, target_id: Arc<str>, now_ms: u64) -> DoorRequest {
         let mut request = self.request.clone();
         request.instance = target_id;
-        request.deadline_ms = self.deadline_ms - now_ms;
+        request.deadline_ms = self.attempts.left_ms(now_ms);
         let terms = CallTerms {
             goal_ms: self.goal_ms.saturating_sub(now_ms),
             rank: self.route.route.priority,
@@ -210,22 +187,6 @@
         DoorRequest { request, terms, body: self.body.clone() }
     }
 
-    /// Whether another target may be asked while the running attempts go on.
-    fn may_repeat(&self) -> bool {
-        self.route.route.idempotent && self.reached + self.running < self.attempts_max
-    }
-
-    /// Waits for the end of an attempt, for as long as it has before another one begins.
-    async fn next_answer(
-        &self,
-        ended: &Receiver<DoorAnswer>,
-        may_repeat: bool,
-    ) -> Option<DoorAnswer> {
-        let left_ms = self.deadline_ms.saturating_sub(self.mesh.now_ms());
-        let patience_ms = if may_repeat { self.patience_ms(left_ms) } else { left_ms };
-        within_ms(patience_ms, ended.recv()).await?.ok()
-    }
-
     fn own_target_id(&self) -> Arc<str> {
         let target = self.mesh.target.borrow();
         target.last().map(|last| last.id.clone()).unwrap_or_default()
@@ -234,11 +195,11 @@
     fn choose(&self, now_ms: u64) -> Choice {
         let ask = Ask {
             service: &self.service,
-            tried: &self.tried,
+            tried: self.attempts.tried(),
             is_idempotent: self.route.route.idempotent,
             rank: self.route.route.priority,
             goal_ms: self.goal_ms.saturating_sub(now_ms),
-            left_ms: self.deadline_ms - now_ms,
+            left_ms: self.attempts.left_ms(now_ms),
             service_ms: self.usual().service_ms,
             random: self.mesh.random(),
         };
@@ -246,83 +207,42 @@
         placer::choose(&self.mesh.peers.borrow(), own.as_ref(), &ask, now_ms)
     }
 
-    /// How long an attempt may take before another target is asked.
-    fn patience_ms(&self, left_ms: u64) -> u64 {
-        let left = left_ms as f64;
-        let usual_ms = self.usual().answer_ms;
-        let patience_ms = match usual_ms {
-            None => left * STALLED_SHARE_UNKNOWN,
-            Some(usual_ms) => {
-                let stalled_ms = (usual_ms * STALLED_TIMES).max(left * STALLED_SHARE_MIN);
-                if left - stalled_ms < usual_ms * RETRY_TIMES { left } else { stalled_ms }
-            }
-        };
-        (patience_ms as u64).min(left_ms)
-    }
-
     /// Takes in what became of an attempt. Returns how the request ends, if it ends.
     fn take(&mut self, answer: DoorAnswer) -> Option<Result<Reply, ResultCode>> {
         let code = answer.response.code;
-        self.reached += usize::from(answer.reached_target);
         if let Some(service_ms) = answer.service_ms {
             self.note(|usual| usual.note_service(service_ms.into()));
         }
         self.retry_after_ms = self.retry_after_ms.max(answer.retry_after_ms.into());
-        let goes_on = self.running > 0 || self.may_repeat();
-        match code.outcome() {
-            Outcome::Answered => {
-                let status = answer.response.http_status;
-                let reply = Reply { response: answer.response, body: answer.body };
-                if status < 500 || !goes_on {
-                    return Some(Ok(reply));
-                }
-                self.may_have_run = Some(ResultCode::AnswerLost);
-                self.failure = Some(reply);
-            }
-            Outcome::Unknown => {
-                self.may_have_run = Some(code);
-                if !goes_on {
-                    return Some(self.end(code));
-                }
-            }
-            Outcome::NotRun => {
-                let is_over = self.tried.len() >= DOORS_MAX || self.reached >= self.attempts_max;
-                if is_over && self.running == 0 {
-                    return Some(self.end(code));
-                }
-            }
+        let http_status = answer.response.http_status;
+        let reached_target = answer.reached_target;
+        let reply = Reply { response: answer.response, body: answer.body };
+        match self.attempts.ended(AttemptEnd { code, http_status, reached_target }) {
+            Next::PassOn => return Some(Ok(reply)),
+            Next::PassOnLater => self.failure = Some(reply),
+            Next::GoOn => {}
+            Next::End(code) => return Some(self.end(code)),
         }
         self.log_attempt(code);
         None
     }
 
     fn log_attempt(&self, code: ResultCode) {
-        let tried = self.tried.len();
+        let tried = self.attempts.tried().len();
         let detail = format!(
             "request={} route={} code={code} tried={tried} reached={} age_ms={}",
             self.request_id,
             self.route.name,
-            self.reached,
+            self.attempts.reached(),
             self.mesh.now_ms() - self.arrived_ms
         );
         log_event(Event::AttemptRepeated, &detail);
     }
 
-    /// Ends the request without a new answer: with a target's own failure if there is one, and
-    /// with "not run" only if that is sure.
+    /// Ends the request without a new answer: with a target's own failure if there is one.
     fn end(&mut self, code: ResultCode) -> Result<Reply, ResultCode> {
-        if let Some(failure) = self.failure.take() {
-            return Ok(failure);
-        }
-        if self.running > 0 {
-            return Err(ResultCode::DeadlineAfterRun);
-        }
-        let is_over = self.mesh.now_ms() >= self.deadline_ms;
-        match (self.may_have_run, code.outcome()) {
-            (Some(_), _) if is_over => Err(ResultCode::DeadlineAfterRun),
-            (Some(earlier), Outcome::NotRun) => Err(earlier),
-            _ => Err(code),
-        }
+        let verdict = self.attempts.verdict(code, self.mesh.now_ms());
+        self.failure.take().ok_or(verdict)
     }
 
     fn budget_limits(&self) -> BudgetLimits {
@@ -362,7 +282,7 @@
                 pass_on(reply)
             }
             Err(code) => {
-                let left_ms = self.deadline_ms.saturating_sub(self.mesh.now_ms());
+                let left_ms = self.attempts.left_ms(self.mesh.now_ms());
                 let detail = format!(
                     "request={} route={} rank={} service={} code={code} tried={} reached={} took_ms={took_ms} \
                      left_ms={left_ms} retry_after_ms={}",
@@ -370,8 +290,8 @@
                     self.route.name,
                     self.route.route.priority,
                     self.service,
-                    self.tried.len(),
-                    self.reached,
+                    self.attempts.tried().len(),
+                    self.attempts.reached(),
                     self.retry_after_ms
                 );
                 log_event(Event::RequestFailed, &detail);
