Links to a few daemons of other regions, and row changes in place of lists and whole states

Cause: every daemon kept a link to every other one, told all of them its whole state on each change of the configuration, and each new link carried lists of all daemons both ways.

Now: links to all peers of the own region and to two of each service in every other one, chosen by rendezvous hashing; lists only for a daemon that knows fewer; loads in messages of their own; a version and its freshness are told by whoever brought them into a region. Row changes are worked out from names of changed rows, once for each version asked from, so that a daemon behind by more than four versions no longer gets all rows. A reader whose turn begins only asks whether anything is new, and one whose calls fail gives up its place.

Found by a test on the way: ages older than the daemon's own start were cut to its start.

--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -6,27 +6,35 @@
 use crate::call::{CallRequest, CallResponse};
 use crate::code::ResultCode;
 use crate::mesh::heartbeat::TargetStart;
-use crate::mesh::state::{DaemonRecord, DaemonState, TargetLoad};
+use crate::mesh::state::{ConfigState, DaemonRecord, DaemonState, TargetLoad};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 /// One message.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum LinkMessage {
-    /// The first message of the daemon that opened the link, with the peers that it knows.
+    /// The first message of the daemon that opened the link, with how many daemons it knows.
     Hello {
         own: DaemonRecord,
-        known: Vec<DaemonRecord>,
+        known_count: u32,
     },
     /// The first message of the other one.
     Welcome {
         own: DaemonRecord,
+        known_count: u32,
+        /// All daemons that it knows, if the other one knows fewer.
         known: Vec<DaemonRecord>,
         state: DaemonState,
         /// Targets that left lately, which a daemon that starts again does not know.
         left: Vec<TargetStart>,
     },
+    /// Sent after a welcome to a daemon that knows fewer peers.
+    Known(Vec<DaemonRecord>),
     State(DaemonState),
+    /// How busy the target is, between two states.
+    Load(TargetLoad),
+    /// Which version is in force, and how fresh the knowledge of it is.
+    Config(ConfigState),
     /// Shows the accepting daemon that the link is alive.
     Ping,
     Call(Call),
@@ -40,7 +48,7 @@
     },
     /// A [`crate::mesh::delta::Delta`] as JSON: rows leave defaults out, which the links' own
     /// encoding cannot express.
-    Config {
+    Rows {
         delta: Bytes,
     },
 }
--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -6,6 +6,7 @@
 pub mod attempts;
 pub mod delta;
 pub mod heartbeat;
+pub mod history;
 pub mod message;
 pub mod peers;
 pub mod placer;
@@ -13,4 +14,5 @@
 pub mod readers;
 pub mod shares;
 pub mod state;
+pub mod topology;
 pub mod usual;
--- a/crates/core/src/mesh/peers.rs
+++ b/crates/core/src/mesh/peers.rs
@@ -1,8 +1,10 @@
 //! The table of the other daemons.
 
+use crate::digest::record_hash;
 use crate::endpoint::TargetState;
 use crate::mesh::heartbeat::{LeftTargets, TargetStart};
-use crate::mesh::state::{DaemonRecord, DaemonState, TargetLoad, TargetSummary};
+use crate::mesh::state::{ConfigState, DaemonRecord, DaemonState, TargetLoad, TargetSummary};
+use crate::mesh::topology;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -11,6 +13,9 @@
 /// The longest pause, in milliseconds. A VM that comes back dials by itself, so that this only
 /// bounds how long two daemons can miss each other.
 const REDIAL_MS_MAX: u64 = 4_000;
+/// How long a link stays open at least, in milliseconds, so that a peer whose target comes and goes
+/// does not make links open and close with it.
+const SURPLUS_MS: u64 = 20_000;
 /// How long a failed call counts against the way to a peer, in milliseconds.
 const FAILED_CALL_MS: u64 = 2_000;
 
@@ -28,6 +33,11 @@
     pub outstanding: u16,
     /// Those among them that its last report cannot know of yet.
     pub unreported: u16,
+    /// Orders peers for links between regions, see [`crate::mesh::topology`].
+    pub affinity: u64,
+    linked_ms: u64,
+    /// When the store is known to have held no newer configuration than this peer does.
+    confirmed_ms: Option<i64>,
     /// When a call to it was last lost.
     failed_ms: Option<u64>,
     redial_at_ms: u64,
@@ -35,8 +45,11 @@
 }
 
 impl Peer {
-    fn new(record: DaemonRecord, now_ms: u64) -> Self {
+    fn new(own: &DaemonRecord, record: DaemonRecord, now_ms: u64) -> Self {
         Self {
+            affinity: record_hash(&[own.name.as_bytes(), record.name.as_bytes()]),
+            linked_ms: 0,
+            confirmed_ms: None,
             record,
             state: None,
             heard_ms: now_ms,
@@ -49,6 +62,11 @@
         }
     }
 
+    /// Dials since it was last linked.
+    pub fn redials(&self) -> u32 {
+        self.redials
+    }
+
     /// The target beside it, if that takes requests.
     pub fn ready_target(&self) -> Option<&TargetSummary> {
         let state = self.state.as_ref()?;
@@ -57,10 +75,14 @@
         is_ready.then_some(target)
     }
 
-    /// How long ago the store is known to have held no newer configuration, in milliseconds.
+    /// How long ago the peer knew that the store held no newer configuration than its own, in
+    /// milliseconds.
     pub fn confirmed_age_ms(&self, now_ms: u64) -> Option<u64> {
-        let age_ms = self.state.as_ref()?.config.confirmed_age_ms?;
-        Some(u64::from(age_ms) + now_ms.saturating_sub(self.heard_ms))
+        u64::try_from(now_ms.cast_signed() - self.confirmed_ms?).ok()
+    }
+
+    pub fn version(&self) -> u64 {
+        self.state.as_ref().map_or(0, |state| state.config.version)
     }
 
     /// Whether a call to it was lost lately.
@@ -140,7 +162,7 @@
         }
         match self.peers.get_mut(&record.name) {
             None => {
-                self.peers.insert(record.name.clone(), Peer::new(record, now_ms));
+                self.peers.insert(record.name.clone(), Peer::new(&self.own, record, now_ms));
             }
             Some(peer) if from_itself && peer.record != record => {
                 peer.record = record;
@@ -157,7 +179,8 @@
     /// Peers to dial now. Marks them as being dialled.
     pub fn due(&mut self, now_ms: u64) -> Vec<DaemonRecord> {
         let mut due = Vec::new();
-        for peer in self.peers.values_mut() {
+        let wanted = topology::wanted(&self.own.region, self.peers.values());
+        for peer in self.peers.values_mut().filter(|peer| wanted.contains(&peer.record.name)) {
             if !peer.is_linked && now_ms >= peer.redial_at_ms {
                 let pause_ms = (REDIAL_MS << peer.redials.min(8)).min(REDIAL_MS_MAX);
                 peer.redials += 1;
@@ -168,10 +191,22 @@
         due
     }
 
+    /// Peers whose links are no longer wanted and carry no calls.
+    pub fn surplus(&self, now_ms: u64) -> Vec<Arc<str>> {
+        let wanted = topology::wanted(&self.own.region, self.peers.values());
+        let is_surplus = |peer: &&Peer| {
+            !wanted.contains(&peer.record.name)
+                && peer.outstanding == 0
+                && now_ms >= peer.linked_ms + SURPLUS_MS
+        };
+        self.linked().filter(is_surplus).map(|peer| peer.record.name.clone()).collect()
+    }
+
     /// A link to the peer is open.
     pub fn linked_up(&mut self, name: &str, state: DaemonState, now_ms: u64) {
         if let Some(peer) = self.peers.get_mut(name) {
             peer.is_linked = true;
+            peer.linked_ms = now_ms;
             peer.redials = 0;
             peer.outstanding = 0;
             peer.failed_ms = None;
@@ -204,6 +239,7 @@
             }
         }
         if let Some(peer) = self.peers.get_mut(name) {
+            peer.confirmed_ms = state.config.confirmed_ms(now_ms);
             peer.state = Some(state);
             peer.heard_ms = now_ms;
             peer.unreported = 0;
@@ -215,14 +251,17 @@
         let Some(state) = &mut peer.state else { return };
         if let Some(target) = &mut state.target {
             target.load = load;
-            // The confirmation in the state is as old as before.
-            if let Some(age_ms) = &mut state.config.confirmed_age_ms {
-                let passed_ms = now_ms.saturating_sub(peer.heard_ms);
-                *age_ms = age_ms.saturating_add(u32::try_from(passed_ms).unwrap_or(u32::MAX));
-            }
-            peer.heard_ms = now_ms;
-            peer.unreported = 0;
         }
+        peer.heard_ms = now_ms;
+        peer.unreported = 0;
+    }
+
+    /// The peer says which version it holds. This tells nothing of its target.
+    pub fn report_config(&mut self, name: &str, config: ConfigState, now_ms: u64) {
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        let Some(state) = &mut peer.state else { return };
+        state.config = config;
+        peer.confirmed_ms = config.confirmed_ms(now_ms);
     }
 
     /// The target beside the peer takes no more requests, whatever its last report says.
--- a/crates/core/src/mesh/readers.rs
+++ b/crates/core/src/mesh/readers.rs
@@ -11,7 +11,8 @@
 /// Daemons that watch the store while all is well; the second covers the loss of the first.
 const READERS: usize = 2;
 /// Without news for this long a daemon reads for itself, in milliseconds. A configuration must be
-/// in force 2,500 ms after it was accepted, so that this leaves time for a read.
+/// in force 2,500 ms after it was accepted, so that this leaves time for a read; readers renew
+/// the knowledge every 800 ms.
 const STALE_MS: u64 = 1_000;
 /// Each further daemon waits this much longer, in milliseconds, so that not all of them read at
 /// once when the readers are lost.
@@ -28,7 +29,9 @@
         return true;
     }
     let own_age_ms = own.confirmed_age_ms.map(u64::from);
-    let heard = peers.linked().filter_map(|peer| peer.confirmed_age_ms(now_ms));
+    // A peer that holds a newer version confirms that one; this daemon still has to get it.
+    let agreeing = peers.linked().filter(|peer| peer.version() <= own.version);
+    let heard = agreeing.filter_map(|peer| peer.confirmed_age_ms(now_ms));
     let freshest_ms = heard.chain(own_age_ms).min().unwrap_or(u64::MAX);
     let patience_ms = STALE_MS + (rank as u64 * STAGGER_MS).min(STAGGER_MS_MAX);
     freshest_ms > patience_ms
--- a/crates/core/src/mesh/state.rs
+++ b/crates/core/src/mesh/state.rs
@@ -16,6 +16,8 @@
     pub start_id: u64,
     pub region: Arc<str>,
     pub zone: Arc<str>,
+    /// The service of the target beside it.
+    pub service: Arc<str>,
     pub link_addr: SocketAddr,
 }
 
@@ -64,13 +66,21 @@
 pub struct ConfigState {
     /// The version in force; 0 before the first one.
     pub version: u64,
-    /// How long ago the store showed that no newer version exists, in milliseconds. Absent if this
-    /// daemon has no such knowledge from the store itself.
+    /// How long ago the store showed, to this daemon or to one that told it, that no newer version
+    /// exists, in milliseconds. Absent if this daemon does not know.
     pub confirmed_age_ms: Option<u32>,
-    /// The shortest time of a call to the store, in milliseconds.
+    /// The shortest time of a call to the store, in milliseconds. Absent while its calls fail.
     pub store_rtt_ms: Option<u32>,
 }
 
+impl ConfigState {
+    /// When the store was known to hold no newer version, by the clock that reads `now_ms`. That may
+    /// have been before the clock of this daemon began.
+    pub fn confirmed_ms(&self, now_ms: u64) -> Option<i64> {
+        Some(now_ms.cast_signed() - i64::from(self.confirmed_age_ms?))
+    }
+}
+
 /// The changing part of what a daemon tells its peers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct DaemonState {
--- a/crates/core/tests/mesh_config.rs
+++ b/crates/core/tests/mesh_config.rs
@@ -115,6 +115,7 @@
         start_id: 1,
         region: "a".into(),
         zone: "a1".into(),
+        service: "s".into(),
         link_addr: "127.0.0.1:1".parse().unwrap(),
     };
     let mut peers = Peers::new(record(own));
--- a/crates/core/tests/mesh_placing.rs
+++ b/crates/core/tests/mesh_placing.rs
@@ -17,6 +17,7 @@
         start_id: 1,
         region: region.into(),
         zone: zone.into(),
+        service: "desk".into(),
         link_addr: "127.0.0.1:1".parse().unwrap(),
     }
 }
--- a/crates/daemon/src/mesh/accepted.rs
+++ b/crates/daemon/src/mesh/accepted.rs
@@ -1,14 +1,13 @@
 //! The links that peers opened: their calls for the target beside this daemon come in on them.
 
 use super::door::{self, Cancel};
-use super::links::{InLink, LinkEnd, OPEN_MS, WAITING_MAX, encode, learn, read, write};
+use super::links::{
+    self, Distance, Frames, InLink, LinkEnd, OPEN_MS, encode, known_count, learn, read, write,
+};
 use super::{Mesh, listener};
 use crate::logging::log_event;
-use async_channel::Sender;
 use async_net::{TcpListener, TcpStream};
-use bytes::Bytes;
 use futures_lite::future::pending;
-use futures_lite::io::BufReader;
 use pomeloreach_core::event::Event;
 use pomeloreach_core::mesh::message::{Answer, Call, LinkMessage};
 use std::cell::{Cell, RefCell};
@@ -42,23 +41,34 @@
 ) -> Result<(), LinkEnd> {
     // Without this option answers would only be later.
     stream.set_nodelay(true).ok();
-    let mut reader = BufReader::new(stream.clone());
-    let LinkMessage::Hello { own, known } = read(&mut reader, OPEN_MS).await? else {
+    let mut reader = links::reader(stream.clone());
+    let LinkMessage::Hello { own, known_count: peer_count } = read(&mut reader, OPEN_MS).await?
+    else {
         return Err(LinkEnd::OutOfOrder);
     };
     let (name, region) = (own.name.clone(), own.region.clone());
-    let (frames, queued) = async_channel::bounded(WAITING_MAX);
-    let records = mesh.peers.borrow().records();
+    let (frames, queued) = Frames::new();
+    let known_count = known_count(mesh);
+    let is_behind = peer_count < known_count;
+    let known = if is_behind { mesh.peers.borrow().records() } else { Vec::new() };
     let left = mesh.peers.borrow().left();
     let (own_record, state) = (mesh.own.clone(), mesh.state());
-    let welcome = LinkMessage::Welcome { own: own_record, known: records, state, left };
-    frames.try_send(encode(&welcome)).ok();
-    learn(mesh, own, known);
+    let welcome = LinkMessage::Welcome { own: own_record, known_count, known, state, left };
+    frames.send(encode(&welcome));
+    let distance = Distance::between(&mesh.own, &own);
+    mesh.peers.borrow_mut().learn(own, true, mesh.now_ms());
     mesh.peers.borrow_mut().came_back(&name, mesh.now_ms());
     mesh.spawn(write(stream, queued));
     let link = mesh.links.next_accepted.get() + 1;
     mesh.links.next_accepted.set(link);
-    let in_link = InLink { frames: frames.clone(), region, reported_ms: Cell::new(mesh.now_ms()) };
+    let in_link = InLink {
+        frames: frames.clone(),
+        peer: name,
+        region,
+        distance,
+        told_ms: Cell::new(mesh.now_ms()),
+        told_state_ms: Cell::new(mesh.now_ms()),
+    };
     mesh.links.accepted.borrow_mut().insert(link, in_link);
     *accepted = Some(link);
     // Dropping the table cancels the calls of a peer that is gone.
@@ -67,14 +77,14 @@
         loop {
             match read(&mut reader, ACCEPTED_SILENT_MS).await? {
                 LinkMessage::Ping => {}
+                LinkMessage::Known(known) => learn(mesh, known),
                 LinkMessage::Call(call) => serve_call(mesh, call, &running, &frames),
                 LinkMessage::Cancel { call } => {
                     running.borrow_mut().remove(&call);
                 }
                 LinkMessage::AskConfig { held_version } => {
                     if let Some(delta) = mesh.config.delta_since(held_version) {
-                        let message = LinkMessage::Config { delta: delta.into() };
-                        frames.try_send(encode(&message)).ok();
+                        frames.send(encode(&LinkMessage::Rows { delta }));
                     }
                 }
                 _ => return Err(LinkEnd::OutOfOrder),
@@ -91,7 +101,7 @@
     mesh: &Rc<Mesh>,
     call: Call,
     running: &Rc<RefCell<BTreeMap<u64, Cancel>>>,
-    frames: &Sender<Bytes>,
+    frames: &Frames,
 ) {
     let Call { call, request } = call;
     let (answered, cancel) = door::submit(mesh, request);
@@ -103,7 +113,7 @@
         let Ok(answer) = answered else { return };
         let load = mesh.door.load(mesh.now_ms());
         let message = LinkMessage::Answer(Answer { call, answer, load });
-        if frames.try_send(encode(&message)).is_err() {
+        if !frames.send(encode(&message)) {
             // The peer learns from the end of the link that it need not wait.
             frames.close();
         }
--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -1,24 +1,26 @@
 //! The configuration in force, and how it comes here: from the store, or from a peer.
 
-use super::Mesh;
+use super::{Mesh, report};
 use crate::logging::log_event;
+use bytes::Bytes;
 use pomeloreach_core::event::Event;
 use pomeloreach_core::matching::RouteTable;
 use pomeloreach_core::mesh::delta::Delta;
+use pomeloreach_core::mesh::history::History;
 use pomeloreach_core::mesh::published::{CallerLimits, Published};
 use pomeloreach_core::mesh::readers;
 use pomeloreach_core::mesh::state::ConfigState;
 use pomeloreach_platform::store::{ConfigRead, StoreClient, StoreError};
 use pomeloreach_wire::clock::sleep_ms;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
+use strum::Display;
 
-/// Versions that are kept, so that peers get the rows that changed since theirs.
-const VERSIONS_KEPT: usize = 4;
 /// How long the store holds a watch open, in milliseconds. Its answer confirms the version, so that
 /// this bounds the age of what a daemon knows.
 const WATCH_MS: u64 = 800;
+/// The same for a daemon whose turn it has just become, which only asks whether anything is new.
+const GLANCE_MS: u64 = 1;
 /// How long the store may take for an answer, in milliseconds.
 const ANSWER_MS: u64 = 700;
 /// How often a daemon that does not read looks whether it should, in milliseconds.
@@ -32,18 +34,53 @@
 /// A store that answers within this time is near, in milliseconds.
 const NEAR_MS: u32 = 30;
 
+/// A confirmation that is this much later than the one held is worth telling others, in
+/// milliseconds: half of the time after which two readers renew it.
+const CONFIRMED_STEP_MS: i64 = 400;
+
 struct InForce {
-    published: Rc<Published>,
+    published: Published,
     routes: Rc<RouteTable>,
+    digest: String,
+    /// The rows that were asked for last, encoded, with the version that they apply to.
+    encoded: RefCell<Option<(u64, Bytes)>>,
+}
+
+/// Where a version or the knowledge of its freshness came from, which decides who is told of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Source {
+    Store,
+    /// A peer of this region.
+    NearPeer,
+    /// A peer of another region.
+    FarPeer,
+}
+
+impl Source {
+    pub fn of_peer(is_near: bool) -> Self {
+        if is_near { Self::NearPeer } else { Self::FarPeer }
+    }
+}
+
+/// What became of rows that a peer sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// They are in force, were in force before, or can never be.
+    Done,
+    /// They apply to a version that was replaced since they were asked for.
+    Superseded,
+    /// They do not lead to the version that was meant; all rows are needed.
+    RowsMissing,
 }
 
 /// The configuration that this daemon holds.
 #[derive(Default)]
 pub struct Holder {
     in_force: RefCell<Option<InForce>>,
-    kept: RefCell<BTreeMap<u64, Rc<Published>>>,
+    history: RefCell<History>,
     refused_version: Cell<u64>,
-    confirmed_ms: Cell<Option<u64>>,
+    confirmed_ms: Cell<Option<i64>>,
     rtt_ms: Cell<Option<u32>>,
 }
 
@@ -62,7 +99,8 @@
     }
 
     pub fn state(&self, now_ms: u64) -> ConfigState {
-        let age_ms = self.confirmed_ms.get().map(|confirmed_ms| now_ms - confirmed_ms);
+        let age_ms =
+            self.confirmed_ms.get().map(|confirmed_ms| now_ms.cast_signed() - confirmed_ms);
         ConfigState {
             version: self.version(),
             confirmed_age_ms: age_ms.and_then(|age_ms| u32::try_from(age_ms).ok()),
@@ -76,20 +114,38 @@
         self.rtt_ms.set(Some(self.rtt_ms.get().map_or(rtt_ms, |least| least.min(rtt_ms))));
     }
 
+    /// Takes in when the store was known to hold nothing newer. Says whether that is news to others.
+    pub fn confirm(&self, confirmed_ms: Option<i64>) -> bool {
+        let Some(confirmed_ms) = confirmed_ms else { return false };
+        let known_ms = self.confirmed_ms.get();
+        if known_ms.is_none_or(|known_ms| known_ms + CONFIRMED_STEP_MS <= confirmed_ms) {
+            self.confirmed_ms.set(Some(confirmed_ms));
+            return true;
+        }
+        false
+    }
+
     /// The rows that a peer with some version needs, as JSON.
-    pub fn delta_since(&self, held_version: u64) -> Option<Vec<u8>> {
+    pub fn delta_since(&self, held_version: u64) -> Option<Bytes> {
         let held = self.in_force.borrow();
-        let newest = &held.as_ref()?.published;
-        if newest.version <= held_version {
+        let held = held.as_ref()?;
+        if held.published.version <= held_version {
             return None;
         }
-        let kept = self.kept.borrow();
-        let delta = match kept.get(&held_version) {
-            Some(base) => Delta::between(base, newest),
-            None => Delta::between(&Published::default(), newest),
-        };
+        let mut encoded = held.encoded.borrow_mut();
+        if let Some((base_version, bytes)) = &*encoded
+            && *base_version == held_version
+        {
+            return Some(bytes.clone());
+        }
+        let history = self.history.borrow();
+        let delta = history.delta_since(held_version, &held.published, &held.digest);
         match serde_json::to_vec(&delta) {
-            Ok(json) => Some(json),
+            Ok(json) => {
+                let bytes = Bytes::from(json);
+                *encoded = Some((held_version, bytes.clone()));
+                Some(bytes)
+            }
             Err(error) => {
                 log_event(Event::VersionRefused, &format!("reason=cannot be encoded: {error}"));
                 None
@@ -99,7 +155,7 @@
 }
 
 /// Puts a version in force if it is newer than the one held and passes every check.
-pub fn apply(mesh: &Rc<Mesh>, published: Published, source: &str) {
+pub fn apply(mesh: &Rc<Mesh>, published: Published, source: Source) {
     let holder = &mesh.config;
     let version = published.version;
     let held_version = holder.version();
@@ -114,44 +170,52 @@
             return log_event(Event::VersionRefused, &detail);
         }
     };
-    let published = Rc::new(published);
-    let mut kept = holder.kept.borrow_mut();
-    kept.insert(version, published.clone());
-    while kept.len() > VERSIONS_KEPT {
-        kept.pop_first();
-    }
-    drop(kept);
     mesh.shares.borrow_mut().retain(|name| published.routes.contains_key(name));
     mesh.usual.borrow_mut().retain(|name, _| published.routes.contains_key(name));
-    *holder.in_force.borrow_mut() = Some(InForce { published, routes: Rc::new(routes) });
+    let mut in_force = holder.in_force.borrow_mut();
+    let none = Published::default();
+    let replaced = in_force.as_ref().map_or(&none, |held| &held.published);
+    holder.history.borrow_mut().note(replaced, &published);
+    let digest = published.digest();
+    let encoded = RefCell::default();
+    *in_force = Some(InForce { published, routes: Rc::new(routes), digest, encoded });
+    drop(in_force);
+    // What was known of the older version says nothing of this one.
+    holder.confirmed_ms.set(None);
     let detail = format!("version={version} held={held_version} source={source}");
     log_event(Event::VersionApplied, &detail);
-    mesh.links.report_now();
+    report::tell_config(mesh, source);
 }
 
-/// Applies what a peer sent. Returns whether all rows must be asked for.
-pub fn apply_delta(mesh: &Rc<Mesh>, json: &[u8], peer: &str) -> bool {
+/// Applies what a peer sent.
+pub fn apply_delta(mesh: &Rc<Mesh>, json: &[u8], peer: &str) -> Applied {
     let delta: Delta = match serde_json::from_slice(json) {
         Ok(delta) => delta,
         Err(error) => {
             log_event(Event::InputRefused, &format!("peer={peer} reason={error}"));
-            return false;
+            return Applied::Done;
         }
     };
-    if delta.version <= mesh.config.version() {
-        return false;
+    let held_version = mesh.config.version();
+    if delta.version <= held_version {
+        return Applied::Done;
     }
-    let base = match delta.base_version {
-        0 => Some(Rc::new(Published::default())),
-        version => mesh.config.kept.borrow().get(&version).cloned(),
+    let next = match delta.base_version {
+        0 => delta.apply(&Published::default()),
+        version if version == held_version => {
+            let held = mesh.config.in_force.borrow();
+            held.as_ref().and_then(|held| delta.apply(&held.published))
+        }
+        _ => return Applied::Superseded,
     };
-    let next = base.and_then(|base| delta.apply(&base));
     match next {
         Some(next) => {
-            apply(mesh, next, peer);
-            false
+            let is_near = mesh.peers.borrow().is_near(peer);
+            apply(mesh, next, Source::of_peer(is_near));
+            Applied::Done
         }
-        None => delta.base_version != 0,
+        None if delta.base_version == 0 => Applied::Done,
+        None => Applied::RowsMissing,
     }
 }
 
@@ -159,33 +223,45 @@
 pub async fn read(mesh: Rc<Mesh>) {
     let store = StoreClient::new(mesh.settings.platform_addr);
     let mut revision: Option<u64> = None;
+    let mut is_reading = false;
     let mut failures = 0;
     let mut failing: Option<String> = None;
     loop {
         if !is_my_turn(&mesh) {
-            revision = None;
+            is_reading = false;
             sleep_ms(LOOK_MS).await;
             continue;
         }
+        // The first watch of a turn only asks whether anything is new.
+        let watch_ms = if is_reading { WATCH_MS } else { GLANCE_MS };
+        let began_ms = mesh.now_ms();
         let read = match revision {
-            Some(revision) => store.watch_config(revision, WATCH_MS, ANSWER_MS).await,
+            Some(revision) => store.watch_config(revision, watch_ms, ANSWER_MS).await,
             None => store.read_config(ANSWER_MS).await,
         };
         match read {
             Ok(ConfigRead { published, revision: continue_at }) => {
                 revision = Some(continue_at);
                 failures = 0;
+                if !is_reading {
+                    mesh.config.note_rtt(mesh.now_ms() - began_ms);
+                    is_reading = true;
+                }
                 if failing.take().is_some() {
                     log_event(Event::StoreRecovered, &format!("revision={continue_at}"));
                 }
                 if let Some(published) = published {
-                    apply(&mesh, published, "store");
+                    apply(&mesh, published, Source::Store);
+                }
+                if mesh.config.confirm(Some(mesh.now_ms().cast_signed())) {
+                    report::tell_config(&mesh, Source::Store);
                 }
-                mesh.config.confirmed_ms.set(Some(mesh.now_ms()));
             }
             Err(StoreError::HistoryGone) => revision = None,
             Err(error) => {
                 failures += 1;
+                is_reading = false;
+                mesh.config.rtt_ms.set(None);
                 let reason = error.to_string();
                 if failing.as_ref() != Some(&reason) {
                     log_event(Event::StoreFailing, &format!("call=config reason={reason}"));
--- a/crates/daemon/src/mesh/dialled.rs
+++ b/crates/daemon/src/mesh/dialled.rs
@@ -1,16 +1,18 @@
 //! The links that this daemon opened: its calls go out on them, and peers' states come back.
 
-use super::links::{LinkEnd, OPEN_MS, OutLink, WAITING_MAX, encode, learn, read, write};
-use super::{Mesh, config};
+use super::config::{self, Applied, Source};
+use super::links::{
+    self, Frames, LinkEnd, OPEN_MS, OutLink, encode, known_count, learn, read, write,
+};
+use super::{Mesh, report};
 use crate::logging::log_event;
 use async_channel::Sender;
 use async_net::TcpStream;
 use futures_lite::future::or;
-use futures_lite::io::BufReader;
 use pomeloreach_core::event::Event;
 use pomeloreach_core::mesh::heartbeat::TargetStart;
 use pomeloreach_core::mesh::message::{Answer, LinkMessage};
-use pomeloreach_core::mesh::state::{DaemonRecord, DaemonState};
+use pomeloreach_core::mesh::state::{ConfigState, DaemonRecord};
 use pomeloreach_wire::clock::{sleep_ms, within_ms};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -31,9 +33,16 @@
 /// How long an answer with rows may take before another peer is asked, in milliseconds.
 const ASK_MS: u64 = 400;
 
-/// Opens links to peers that have none.
+/// Opens links to peers that should have one, and closes those that are of no more use.
 pub async fn dial(mesh: Rc<Mesh>) {
     loop {
+        let surplus = mesh.peers.borrow().surplus(mesh.now_ms());
+        for name in surplus {
+            if let Some(link) = mesh.links.out.borrow().get(&name) {
+                log_event(Event::PeerLost, &format!("peer={name} reason=no longer needed"));
+                link.frames.close();
+            }
+        }
         let due = mesh.peers.borrow_mut().due(mesh.now_ms());
         for record in due {
             if !mesh.links.out.borrow().contains_key(&record.name) {
@@ -71,12 +80,13 @@
 ) -> Result<(), LinkEnd> {
     // Without this option calls would only be later.
     stream.set_nodelay(true).ok();
-    let (frames, queued) = async_channel::bounded(WAITING_MAX);
-    let known = mesh.peers.borrow().records();
-    frames.try_send(encode(&LinkMessage::Hello { own: mesh.own.clone(), known })).ok();
+    let (frames, queued) = Frames::new();
+    let known_count = known_count(mesh);
+    frames.send(encode(&LinkMessage::Hello { own: mesh.own.clone(), known_count }));
     mesh.spawn(write(stream.clone(), queued));
-    let mut reader = BufReader::new(stream);
-    let LinkMessage::Welcome { own, known, state, left } = read(&mut reader, OPEN_MS).await? else {
+    let mut reader = links::reader(stream);
+    let welcome = read(&mut reader, OPEN_MS).await?;
+    let LinkMessage::Welcome { own, known_count: peer_count, known, state, left } = welcome else {
         return Err(LinkEnd::OutOfOrder);
     };
     let name = own.name.clone();
@@ -89,11 +99,15 @@
     let link = OutLink { frames: frames.clone(), pending: pending.clone(), start_id };
     mesh.links.out.borrow_mut().insert(name.clone(), link);
     *opened = Some((name.clone(), start_id));
-    learn(mesh, own, known);
+    mesh.peers.borrow_mut().learn(own, true, mesh.now_ms());
+    learn(mesh, known);
+    if peer_count < known_count {
+        frames.send(encode(&LinkMessage::Known(mesh.peers.borrow().records())));
+    }
     learn_left(mesh, left);
     mesh.peers.borrow_mut().linked_up(&name, state.clone(), mesh.now_ms());
     log_event(Event::PeerJoined, &format!("peer={name}"));
-    ask_config(mesh, &name, &state);
+    hear_config(mesh, &name, state.config);
     let silent_ms = if is_near { SILENT_MS } else { FAR_SILENT_MS };
     let receiving = async {
         loop {
@@ -105,7 +119,7 @@
         loop {
             sleep_ms(PING_MS).await;
             // A full or closed queue shows in the other half of the link.
-            frames.try_send(encode(&LinkMessage::Ping)).ok();
+            frames.send(encode(&LinkMessage::Ping));
         }
     };
     let result = or(receiving, pinging).await;
@@ -133,8 +147,14 @@
 ) -> Result<(), LinkEnd> {
     match message {
         LinkMessage::State(state) => {
-            ask_config(mesh, peer, &state);
+            let config = state.config;
             mesh.peers.borrow_mut().report(peer, state, mesh.now_ms());
+            hear_config(mesh, peer, config);
+        }
+        LinkMessage::Load(load) => mesh.peers.borrow_mut().report_load(peer, load, mesh.now_ms()),
+        LinkMessage::Config(config) => {
+            mesh.peers.borrow_mut().report_config(peer, config, mesh.now_ms());
+            hear_config(mesh, peer, config);
         }
         LinkMessage::Answer(answer) => {
             mesh.peers.borrow_mut().report_load(peer, answer.load, mesh.now_ms());
@@ -144,10 +164,12 @@
                 reply.try_send(answer).ok();
             }
         }
-        LinkMessage::Config { delta } => {
+        LinkMessage::Rows { delta } => {
             mesh.links.asked_config_ms.set(None);
-            if config::apply_delta(mesh, &delta, peer) {
-                mesh.links.send(peer, &LinkMessage::AskConfig { held_version: 0 });
+            match config::apply_delta(mesh, &delta, peer) {
+                Applied::Done => {}
+                Applied::Superseded => ask_rows(mesh, peer, mesh.config.version()),
+                Applied::RowsMissing => ask_rows(mesh, peer, 0),
             }
         }
         _ => return Err(LinkEnd::OutOfOrder),
@@ -155,24 +177,33 @@
     Ok(())
 }
 
-/// Asks a peer for a newer version. One daemon of each region asks far peers at once, and the
-/// others get the version from it, so that it crosses each link between regions about once.
-fn ask_config(mesh: &Rc<Mesh>, peer: &str, state: &DaemonState) {
+/// Takes in which version a peer holds and how fresh its knowledge is. One daemon of each region
+/// asks far peers for a newer version at once, and the others get it from that one, so that it
+/// crosses each link between regions about once.
+fn hear_config(mesh: &Rc<Mesh>, peer: &str, config: ConfigState) {
     let links = &mesh.links;
     let held_version = mesh.config.version();
     let now_ms = mesh.now_ms();
-    if state.config.version <= held_version {
-        return links.behind_since_ms.set(None);
+    let is_near = mesh.peers.borrow().is_near(peer);
+    if config.version <= held_version {
+        links.behind_since_ms.set(None);
+        if config.version == held_version && mesh.config.confirm(config.confirmed_ms(now_ms)) {
+            report::tell_config(mesh, Source::of_peer(is_near));
+        }
+        return;
     }
     let behind_since_ms = links.behind_since_ms.get().unwrap_or(now_ms);
     links.behind_since_ms.set(Some(behind_since_ms));
     let is_asking = links.asked_config_ms.get().is_some_and(|ms| now_ms < ms + ASK_MS);
-    let may_ask = mesh.peers.borrow().is_near(peer)
+    let may_ask = is_near
         || mesh.peers.borrow().is_first_of_region()
         || now_ms >= behind_since_ms + NEAR_FIRST_MS;
-    if is_asking || !may_ask {
-        return;
+    if !is_asking && may_ask {
+        ask_rows(mesh, peer, held_version);
     }
-    links.asked_config_ms.set(Some(now_ms));
-    links.send(peer, &LinkMessage::AskConfig { held_version });
+}
+
+fn ask_rows(mesh: &Rc<Mesh>, peer: &str, held_version: u64) {
+    mesh.links.asked_config_ms.set(Some(mesh.now_ms()));
+    mesh.links.send(peer, &LinkMessage::AskConfig { held_version });
 }
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -21,24 +21,68 @@
 
 /// The largest message, in bytes: a body with its head.
 const MESSAGE_BYTES_MAX: usize = 20 * 1024 * 1024;
-/// Messages that may wait on a link; calls beyond are refused. The queue's memory is taken when the
-/// link opens.
-pub const WAITING_MAX: usize = 512;
+/// Messages that may wait on a link; calls beyond are refused.
+const WAITING_MAX: usize = 512;
+/// Bytes that are read from a link at once; what is larger is read without a buffer.
+const READ_BYTES: usize = 2 * 1024;
 /// How long opening a link may take, in milliseconds.
 pub const OPEN_MS: u64 = 1_000;
 
+/// What waits to be written on a link. Its memory grows with what waits.
+#[derive(Clone)]
+pub struct Frames(Sender<Bytes>);
+
+impl Frames {
+    pub fn new() -> (Self, Receiver<Bytes>) {
+        let (sender, receiver) = async_channel::unbounded();
+        (Self(sender), receiver)
+    }
+
+    /// Queues a frame. Says whether the link takes it: a closed or overfull one does not.
+    pub fn send(&self, frame: Bytes) -> bool {
+        self.0.len() < WAITING_MAX && self.0.try_send(frame).is_ok()
+    }
+
+    pub fn close(&self) {
+        self.0.close();
+    }
+}
+
+/// How far a peer is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Distance {
+    SameZone,
+    SameRegion,
+    OtherRegion,
+}
+
+impl Distance {
+    pub fn between(own: &DaemonRecord, other: &DaemonRecord) -> Self {
+        match (own.zone == other.zone, own.region == other.region) {
+            (true, _) => Self::SameZone,
+            (false, true) => Self::SameRegion,
+            (false, false) => Self::OtherRegion,
+        }
+    }
+}
+
 /// A link that this daemon opened.
 pub struct OutLink {
-    pub frames: Sender<Bytes>,
+    pub frames: Frames,
     pub pending: Rc<RefCell<BTreeMap<u64, Sender<Answer>>>>,
     pub start_id: u64,
 }
 
 /// A link that a peer opened.
 pub struct InLink {
-    pub frames: Sender<Bytes>,
+    pub frames: Frames,
+    pub peer: Arc<str>,
     pub region: Arc<str>,
-    pub reported_ms: Cell<u64>,
+    pub distance: Distance,
+    /// When the peer was last told something of the target's load.
+    pub told_ms: Cell<u64>,
+    /// When the peer was last told the whole state.
+    pub told_state_ms: Cell<u64>,
 }
 
 /// All links of a daemon.
@@ -51,6 +95,7 @@
     pub asked_config_ms: Cell<Option<u64>>,
     /// Since when a peer has been known to hold a newer version.
     pub behind_since_ms: Cell<Option<u64>>,
+    /// Wakes the reports after a change of the target.
     pub changed: Notify,
 }
 
@@ -64,7 +109,7 @@
     /// is asked again.
     pub fn send(&self, peer: &str, message: &LinkMessage) {
         if let Some(link) = self.out.borrow().get(peer) {
-            link.frames.try_send(encode(message)).ok();
+            link.frames.send(encode(message));
         }
     }
 }
@@ -107,7 +152,7 @@
         let out = links.out.borrow();
         let link = out.get(peer)?;
         link.pending.borrow_mut().insert(call, reply);
-        if link.frames.try_send(encode(&LinkMessage::Call(Call { call, request }))).is_err() {
+        if !link.frames.send(encode(&LinkMessage::Call(Call { call, request }))) {
             link.pending.borrow_mut().remove(&call);
             return None;
         }
@@ -118,6 +163,10 @@
 
 pub type Reader = BufReader<TcpStream>;
 
+pub fn reader(stream: TcpStream) -> Reader {
+    BufReader::with_capacity(READ_BYTES, stream)
+}
+
 pub async fn read(reader: &mut Reader, silent_ms: u64) -> Result<LinkMessage, LinkEnd> {
     let reading = frame::read(reader, MESSAGE_BYTES_MAX);
     within_ms(silent_ms, reading).await.ok_or(LinkEnd::Silent)?.map_err(LinkEnd::Broken)
@@ -158,11 +207,16 @@
     stream.shutdown(std::net::Shutdown::Both).ok();
 }
 
-pub fn learn(mesh: &Rc<Mesh>, own: DaemonRecord, known: Vec<DaemonRecord>) {
+/// Learns of daemons from one that speaks of others.
+pub fn learn(mesh: &Rc<Mesh>, known: Vec<DaemonRecord>) {
     let now_ms = mesh.now_ms();
     let mut peers = mesh.peers.borrow_mut();
-    peers.learn(own, true, now_ms);
     for record in known {
         peers.learn(record, false, now_ms);
     }
 }
+
+/// How many daemons this one knows, as links tell it.
+pub fn known_count(mesh: &Mesh) -> u32 {
+    u32::try_from(mesh.peers.borrow().daemons()).unwrap_or(u32::MAX)
+}
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -176,6 +176,7 @@
         start_id: rng.next_u64() >> START_ID_SHIFT,
         region: settings.region.clone(),
         zone: settings.zone.clone(),
+        service: mesh_settings.service.clone(),
         link_addr: settings.control_addr,
     };
     let clock = Clock::default();
