A door refuses what is better placed elsewhere; load patterns replayed against the decisions

Cause: reports of load are up to half a second old, so that several daemons choose the same target and their requests wait there while others are idle. The origin now says beyond which wait the next best target would be better, and the door, which alone knows its queue, refuses then. Nothing was handed over, so that it costs no retry budget.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -43,6 +43,10 @@
     /// How long the request is expected to take at the target, in milliseconds; absent if only the
     /// target's usual time is known.
     pub service_ms: Option<f64>,
+    /// The wait beyond which the request is better placed elsewhere, in milliseconds; absent if
+    /// there is no better place. Reports of load are always somewhat old, and only the door knows
+    /// how long its queue is now.
+    pub wait_max_ms: Option<f64>,
 }
 
 /// A request in the queue.
@@ -172,7 +176,8 @@
             }
             late
         };
-        if is_full {
+        let wait_ms = self.wait_ms(self.place(&waiting));
+        if is_full || arrival.wait_max_ms.is_some_and(|wait_max_ms| wait_ms > wait_max_ms) {
             return Admit::Refuse(ResultCode::TargetFull);
         }
         self.queue.insert(self.place(&waiting), waiting);
--- a/crates/core/src/mesh/attempts.rs
+++ b/crates/core/src/mesh/attempts.rs
@@ -109,6 +109,11 @@
         self.running += 1;
     }
 
+    /// Whether no other daemon will be asked.
+    pub fn is_last(&self) -> bool {
+        self.tried.len() >= DAEMONS_MAX
+    }
+
     fn may_repeat(&self) -> bool {
         self.terms.is_idempotent && self.reached + self.running < self.terms.attempts_max
     }
--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -78,6 +78,9 @@
     pub is_idempotent: bool,
     /// How long such a request usually takes at a target, in milliseconds; absent if unknown.
     pub service_ms: Option<u32>,
+    /// The wait at the door beyond which the request is better placed elsewhere, in milliseconds;
+    /// absent if there is no better place.
+    pub wait_max_ms: Option<u32>,
 }
 
 /// What became of a call.
--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -12,6 +12,7 @@
 pub mod placer;
 pub mod published;
 pub mod readers;
+pub mod retry_after;
 pub mod shares;
 pub mod state;
 pub mod topology;
--- a/crates/core/src/mesh/placer.rs
+++ b/crates/core/src/mesh/placer.rs
@@ -39,6 +39,9 @@
 const SLOWNESS_MAX: f64 = 8.0;
 /// The share of the time left within which a late request must be expected to end.
 const LATE_TIME_SHARE: f64 = 0.6;
+/// What asking another target costs in time, so that a wait shorter than this is no reason to, in
+/// milliseconds: a round trip within a region and the work of three daemons.
+const WAIT_SLACK_MS: f64 = 10.0;
 /// The fractional part of the golden ratio; its multiples spread most evenly between 0 and 1.
 const GOLDEN_RATIO: f64 = 0.618_033_988_75;
 /// The service time of a target that nothing is known of, in milliseconds.
@@ -63,22 +66,30 @@
     pub random: f64,
 }
 
-/// Where a request goes.
+/// Where a request goes. `wait_max_ms` is the wait beyond which the next best target would have
+/// been better; absent if there is none.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Choice {
     /// To the target beside this daemon.
-    Own,
+    Own { wait_max_ms: Option<u32> },
     /// To the target beside a peer.
-    Peer { name: Arc<str>, target_id: Arc<str> },
+    Peer { name: Arc<str>, target_id: Arc<str>, wait_max_ms: Option<u32> },
     /// Every target would answer too late.
     Full { retry_after_ms: u64 },
     /// No target of the service is known that could be tried.
     NoTarget,
 }
 
+/// The target of a candidate.
+#[derive(Clone, Debug)]
+enum Place {
+    Own,
+    Peer { name: Arc<str>, target_id: Arc<str> },
+}
+
 #[derive(Clone, Debug)]
 struct Candidate {
-    choice: Choice,
+    place: Place,
     /// When the answer is expected, in milliseconds from now.
     expected_ms: f64,
     /// The same if all that wait go first.
@@ -91,7 +102,7 @@
 
 /// A target that may be chosen, before its expected time is worked out.
 struct Reachable {
-    choice: Choice,
+    place: Place,
     load: TargetLoad,
     /// Requests that the load report cannot know of yet, this daemon's own and those that others
     /// are likely to have sent.
@@ -107,21 +118,21 @@
         && is_usable(target, &peers.own().name, ask)
     {
         let distance = Distance { rtt_ms: 0.0, cost_ms: 0.0 };
-        let (choice, load) = (Choice::Own, target.load);
-        found.push(Reachable { choice, load, unreported: 0.0, distance, failed_lately: false });
+        let (place, load) = (Place::Own, target.load);
+        found.push(Reachable { place, load, unreported: 0.0, distance, failed_lately: false });
     }
     for peer in peers.linked() {
         let Some(target) = peer.ready_target() else { continue };
         if !is_usable(target, &peer.record.name, ask) {
             continue;
         }
-        let choice = Choice::Peer { name: peer.record.name.clone(), target_id: target.id.clone() };
+        let place = Place::Peer { name: peer.record.name.clone(), target_id: target.id.clone() };
         let own_unreported =
             peer.unreported.max(peer.outstanding.saturating_sub(target.load.running));
         let age_s = now_ms.saturating_sub(peer.heard_ms) as f64 / 1_000.0;
         let others = age_s * DRIFT_PER_S * f64::from(target.load.slots);
         found.push(Reachable {
-            choice,
+            place,
             load: target.load,
             unreported: f64::from(own_unreported) + others,
             distance: distance(peers, peer),
@@ -158,7 +169,15 @@
         .or_else(|| candidates.iter().find(|c| c.is_near && c.late_ms <= late_limit_ms))
         .or_else(|| candidates.iter().find(|c| c.wait_ms <= 0.0 && c.late_ms <= late_limit_ms));
     if let Some(chosen) = chosen {
-        return chosen.choice.clone();
+        let others = candidates.iter().filter(|other| !std::ptr::eq(*other, chosen));
+        let next = others.filter(|other| other.expected_ms <= goal_ms).map(|other| other.score);
+        // How much later the chosen target may be before the next best one is no worse.
+        let lead_ms = next.min_by(f64::total_cmp).map(|score| (score - chosen.score).max(0.0));
+        let wait_max_ms = lead_ms.map(|lead_ms| (chosen.wait_ms + lead_ms + WAIT_SLACK_MS) as u32);
+        return match chosen.place.clone() {
+            Place::Own => Choice::Own { wait_max_ms },
+            Place::Peer { name, target_id } => Choice::Peer { name, target_id, wait_max_ms },
+        };
     }
     let soonest_ms = candidates.iter().map(|c| c.wait_ms).fold(best.wait_ms, f64::min);
     Choice::Full { retry_after_ms: soonest_ms as u64 }
@@ -192,7 +211,7 @@
 /// Works out when a target would answer. Its mean over all kinds of requests tells how long others
 /// hold its slots, and how fast it is beside the rest of its service.
 fn candidate(found: Reachable, usual_ms: f64, ask: &Ask) -> Candidate {
-    let Reachable { choice, load, unreported, distance, failed_lately } = found;
+    let Reachable { place, load, unreported, distance, failed_lately } = found;
     let slots = f64::from(load.slots.max(1));
     let mean_ms = if load.service_ms > 0.0 { f64::from(load.service_ms) } else { usual_ms };
     let slowness = (mean_ms / usual_ms).clamp(SLOWNESS_MIN, SLOWNESS_MAX);
@@ -210,5 +229,5 @@
     let lost_ms = if failed_lately { LOST_CALL_MS } else { 0.0 };
     let score = distance.cost_ms + wait_ms + service_ms + crowding_ms + risk_ms + lost_ms;
     let is_near = distance.cost_ms < OTHER_REGION_MS;
-    Candidate { choice, expected_ms, late_ms, wait_ms, is_near, score }
+    Candidate { place, expected_ms, late_ms, wait_ms, is_near, score }
 }
--- a/crates/core/tests/door_queue.rs
+++ b/crates/core/tests/door_queue.rs
@@ -7,7 +7,7 @@
 const SLOTS: u16 = 2;
 
 fn arrival(ticket: u64, rank: u8, goal_ms: u64, deadline_ms: u64, service_ms: f64) -> Arrival {
-    Arrival { ticket, deadline_ms, goal_ms, rank, service_ms: Some(service_ms) }
+    Arrival { ticket, deadline_ms, goal_ms, rank, service_ms: Some(service_ms), wait_max_ms: None }
 }
 
 /// A door whose slots are taken by requests that take 100 ms each.
--- a/crates/core/tests/mesh_placing.rs
+++ b/crates/core/tests/mesh_placing.rs
@@ -62,7 +62,7 @@
 fn chosen(peers: &Peers, own: Option<TargetLoad>, ask: &Ask) -> String {
     let own = own.map(|load| target("own", load));
     match choose(peers, own.as_ref(), ask, 0) {
-        Choice::Own => "own".to_string(),
+        Choice::Own { .. } => "own".to_string(),
         Choice::Peer { name, .. } => name.to_string(),
         Choice::Full { .. } => "full".to_string(),
         Choice::NoTarget => "none".to_string(),
--- a/crates/daemon/src/door.rs
+++ b/crates/daemon/src/door.rs
@@ -148,8 +148,14 @@
         let mut state = lock(&shared.door.state);
         state.next_ticket += 1;
         let ticket = state.next_ticket;
-        let arrival =
-            Arrival { ticket, deadline_ms, goal_ms: deadline_ms, rank: 0, service_ms: None };
+        let arrival = Arrival {
+            ticket,
+            deadline_ms,
+            goal_ms: deadline_ms,
+            rank: 0,
+            service_ms: None,
+            wait_max_ms: None,
+        };
         match state.admission.arrive(now_ms, arrival) {
             Admit::Run => return Ok(Place { shared, since_ms: now_ms }),
             Admit::Refuse(code) => return Err(code),
--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -219,10 +219,18 @@
     }
 }
 
+/// How far this daemon has read the store.
+#[derive(Clone, Copy)]
+struct ReadUpTo {
+    revision: u64,
+    /// The configuration's version at that revision.
+    version: u64,
+}
+
 /// Reads the configuration from the store whenever it is this daemon's turn.
 pub async fn read(mesh: Rc<Mesh>) {
     let store = StoreClient::new(mesh.settings.platform_addr);
-    let mut revision: Option<u64> = None;
+    let mut from: Option<ReadUpTo> = None;
     let mut is_reading = false;
     let mut failures = 0;
     let mut failing: Option<String> = None;
@@ -235,13 +243,14 @@
         // The first watch of a turn only asks whether anything is new.
         let watch_ms = if is_reading { WATCH_MS } else { GLANCE_MS };
         let began_ms = mesh.now_ms();
-        let read = match revision {
-            Some(revision) => store.watch_config(revision, watch_ms, ANSWER_MS).await,
+        // A watch from before a change brings each version in between whole.
+        let continue_from = from.filter(|from| is_reading || from.version == mesh.config.version());
+        let read = match continue_from {
+            Some(from) => store.watch_config(from.revision, watch_ms, ANSWER_MS).await,
             None => store.read_config(ANSWER_MS).await,
         };
         match read {
             Ok(ConfigRead { published, revision: continue_at }) => {
-                revision = Some(continue_at);
                 failures = 0;
                 if !is_reading {
                     mesh.config.note_rtt(mesh.now_ms() - began_ms);
@@ -253,11 +262,12 @@
                 if let Some(published) = published {
                     apply(&mesh, published, Source::Store);
                 }
+                from = Some(ReadUpTo { revision: continue_at, version: mesh.config.version() });
                 if mesh.config.confirm(Some(mesh.now_ms().cast_signed())) {
                     report::tell_config(&mesh, Source::Store);
                 }
             }
-            Err(StoreError::HistoryGone) => revision = None,
+            Err(StoreError::HistoryGone) => from = None,
             Err(error) => {
                 failures += 1;
                 is_reading = false;
--- a/crates/daemon/src/mesh/door.rs
+++ b/crates/daemon/src/mesh/door.rs
@@ -320,7 +320,8 @@
         let goal_ms = (now_ms + call.terms.goal_ms).min(deadline_ms);
         let service_ms = call.terms.service_ms.map(f64::from);
         let rank = call.terms.rank;
-        let arrival = Arrival { ticket, deadline_ms, goal_ms, rank, service_ms };
+        let wait_max_ms = call.terms.wait_max_ms.map(f64::from);
+        let arrival = Arrival { ticket, deadline_ms, goal_ms, rank, service_ms, wait_max_ms };
         match state.admission.arrive(now_ms, arrival) {
             Admit::Run => return Ok(Place { mesh, since_ms: now_ms, is_measured: false }),
             Admit::Refuse(code) => return Err(code),
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -19,6 +19,7 @@
 use pomeloreach_core::mesh::attempts::{self, AttemptEnd, Attempts, Next, Terms};
 use pomeloreach_core::mesh::message::{CallTerms, DoorAnswer, DoorRequest};
 use pomeloreach_core::mesh::placer::{self, Ask, Choice};
+use pomeloreach_core::mesh::retry_after::{self, Refused};
 use pomeloreach_core::mesh::usual::UsualTimes;
 use pomeloreach_platform::headers;
 use pomeloreach_wire::clock::within_ms;
@@ -30,8 +31,6 @@
 const RETRY_PERCENT: u8 = 12;
 /// The part of the platform's slack for retries that the daemons spend without traffic.
 const SLACK_SHARE: f64 = 0.3;
-/// The shortest time after which a refused caller is asked to come back, in milliseconds.
-const RETRY_AFTER_MS_MIN: u64 = 40;
 /// The time after which a caller is asked to come back when no target is known, in milliseconds.
 const RETRY_AFTER_UNKNOWN_MS: u64 = 300;
 
@@ -140,9 +139,9 @@
         if !self.attempts.may_begin() {
             return Err(ResultCode::DeadlineAfterRun);
         }
-        let (peer, target_id) = match self.choose(now_ms) {
-            Choice::Own => (None, self.own_target_id()),
-            Choice::Peer { name, target_id } => (Some(name), target_id),
+        let (peer, target_id, wait_max_ms) = match self.choose(now_ms) {
+            Choice::Own { wait_max_ms } => (None, self.own_target_id(), wait_max_ms),
+            Choice::Peer { name, target_id, wait_max_ms } => (Some(name), target_id, wait_max_ms),
             Choice::Full { retry_after_ms } => {
                 self.retry_after_ms = self.retry_after_ms.max(retry_after_ms);
                 return Err(ResultCode::TargetFull);
@@ -156,7 +155,9 @@
             return Err(ResultCode::RetryBudgetSpent);
         }
         self.attempts.began(peer.clone().unwrap_or_else(|| self.mesh.own.name.clone()));
-        let request = self.door_request(target_id, now_ms);
+        // The last daemon that may be asked is better than none.
+        let wait_max_ms = wait_max_ms.filter(|_| !self.attempts.is_last());
+        let request = self.door_request(target_id, wait_max_ms, now_ms);
         let (mesh, results) = (self.mesh.clone(), results.clone());
         Ok(self.mesh.executor.spawn(async move {
             let answer = attempt::make(mesh, peer, request).await;
@@ -174,7 +175,12 @@
         }
     }
 
-    fn door_request(&self, target_id: Arc<str>, now_ms: u64) -> DoorRequest {
+    fn door_request(
+        &self,
+        target_id: Arc<str>,
+        wait_max_ms: Option<u32>,
+        now_ms: u64,
+    ) -> DoorRequest {
         let mut request = self.request.clone();
         request.instance = target_id;
         request.deadline_ms = self.attempts.left_ms(now_ms);
@@ -183,6 +189,7 @@
             rank: self.route.route.priority,
             is_idempotent: self.route.route.idempotent,
             service_ms: self.usual().service_ms.map(|ms| ms as u32),
+            wait_max_ms,
         };
         DoorRequest { request, terms, body: self.body.clone() }
     }
@@ -295,7 +302,13 @@
                     self.retry_after_ms
                 );
                 log_event(Event::RequestFailed, &detail);
-                let hint_ms = self.mesh.jittered(self.retry_after_ms.max(RETRY_AFTER_MS_MIN));
+                let refused = Refused {
+                    wait_ms: self.retry_after_ms,
+                    left_ms,
+                    rank: self.route.route.priority,
+                    random: self.mesh.random(),
+                };
+                let hint_ms = retry_after::hint_ms(refused);
                 refuse(&self.request_id, code, hint_ms)
             }
         }
--- /dev/null
+++ b/crates/standins/examples/patterns.rs
@@ -0,0 +1,57 @@
+//! Prints a table of every load pattern under every policy.
+
+use argh::FromArgs;
+use pomeloreach_standins::replay::{Figures, Policy, patterns, replay};
+use strum::IntoEnumIterator;
+
+/// Runs of each pattern with different seeds.
+const SEEDS: u64 = 5;
+
+/// Replay load patterns against the placer, the doors and baselines, and print a table.
+#[derive(FromArgs)]
+struct Options {
+    /// only this policy, by its name in the table
+    #[argh(option)]
+    policy: Option<Policy>,
+
+    /// only patterns whose names begin so
+    #[argh(option, default = "String::new()")]
+    pattern: String,
+}
+
+fn main() {
+    let options: Options = argh::from_env();
+    println!(
+        "| Pattern | Policy | Worth | In time | Late | Refused | Refused late | Failed | p50 ms | p99 ms | \
+         Rank 1 | Rank 2 | Far | Arrivals |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for pattern in patterns().into_iter().filter(|found| found.name.starts_with(&options.pattern)) {
+        for policy in Policy::iter().filter(|found| options.policy.is_none_or(|p| p == *found)) {
+            let runs: Vec<Figures> =
+                (0..SEEDS).map(|seed| replay(&pattern, policy, seed)).collect();
+            let mean =
+                |of: &dyn Fn(&Figures) -> f64| runs.iter().map(of).sum::<f64>() / runs.len() as f64;
+            let share = |of: &dyn Fn(&Figures) -> u64| {
+                100.0 * mean(&|run: &Figures| of(run) as f64 / run.requests.max(1) as f64)
+            };
+            println!(
+                "| {} | {policy} | {:.3} | {:.1} | {:.1} | {:.1} | {:.1} | {:.1} | {:.0} | {:.0} | {:.1} | \
+                 {:.1} | {:.1} | {:.2} |",
+                pattern.name,
+                mean(&|run| run.worth()),
+                share(&|run| run.in_time),
+                share(&|run| run.late),
+                share(&|run| run.refused),
+                share(&|run| run.refused_late),
+                share(&|run| run.failed),
+                mean(&|run| run.quantile_ms(0.5) as f64),
+                mean(&|run| run.quantile_ms(0.99) as f64),
+                100.0 * mean(&|run| run.rank_share(1)),
+                100.0 * mean(&|run| run.rank_share(2)),
+                share(&|run| run.far),
+                share(&|run| run.arrivals) / 100.0,
+            );
+        }
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod keys;
 pub mod load;
+pub mod replay;
 pub mod serving;
 pub mod store;
 pub mod store_server;
--- a/crates/standins/tests/request_runs.rs
+++ b/crates/standins/tests/request_runs.rs
@@ -177,8 +177,14 @@
             return ResultCode::TargetUnreachable;
         }
         let deadline_ms = self.now_ms + timeout_ms;
-        let arrival =
-            Arrival { ticket: id, deadline_ms, goal_ms: deadline_ms, rank: 0, service_ms: None };
+        let arrival = Arrival {
+            ticket: id,
+            deadline_ms,
+            goal_ms: deadline_ms,
+            rank: 0,
+            service_ms: None,
+            wait_max_ms: None,
+        };
         let arrived = self.doors[index].arrive(self.now_ms, arrival);
         match arrived {
             Admit::Run => {}
