Bounded logs on standard output, metrics as text, and 'pomeloreach explain'

Logs went to standard error without a bound, and a daemon whose reader stopped would have stopped too. Now lines wait in a bounded buffer and are written only while the reader takes them; a budget for each event bounds how many there are, and what is left out is counted. Each line about a request has its id, what decided (the load report and its age, the door's queue, the version) and the outcome.

Tests: three kinds of failed request explained by the command from a real daemon's log, metrics read over HTTP, a daemon whose log nobody reads, the budget under a thousand failures a second.

--- /dev/null
+++ b/crates/cli/src/cmd/explain.rs
@@ -0,0 +1,86 @@
+//! `pomeloreach explain`.
+
+use crate::error::CliError;
+use crate::log_line::LogLine;
+use crate::print;
+use argh::FromArgs;
+use pomeloreach_core::code::{Outcome, ResultCode};
+use std::fmt::Write;
+use std::path::PathBuf;
+
+/// Tell what became of one request, from the logs of the daemons that dealt with it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct Explain {
+    /// the request's id
+    #[argh(positional)]
+    request: String,
+    /// log files of daemons
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+}
+
+impl Explain {
+    pub fn run(self, json: bool) -> Result<(), CliError> {
+        let mut lines = Vec::new();
+        for path in &self.files {
+            let text = std::fs::read_to_string(path)
+                .map_err(|source| CliError::Read { path: path.clone(), source })?;
+            let file = path.file_stem().map_or_else(String::new, |stem| stem.display().to_string());
+            let read = text.lines().filter_map(|line| LogLine::parse(line, &file));
+            lines.extend(read.filter(|line| line.value("request") == Some(&self.request)));
+        }
+        if lines.is_empty() {
+            return Err(CliError::NoRequest(self.request));
+        }
+        lines.sort_by(|a, b| a.timestamp.cmp(&b.timestamp));
+        if json {
+            return print::json(&to_json(&lines));
+        }
+        print::text(&explained(&lines))
+    }
+}
+
+fn to_json(lines: &[LogLine]) -> Vec<serde_json::Value> {
+    let value = |line: &LogLine| {
+        serde_json::json!({
+            "timestamp": line.timestamp,
+            "source": line.source,
+            "event": line.name,
+            "detail": line.detail,
+        })
+    };
+    lines.iter().map(value).collect()
+}
+
+fn explained(lines: &[LogLine]) -> String {
+    let mut text = String::new();
+    for line in lines {
+        let LogLine { source, timestamp, name, detail } = line;
+        writeln!(text, "{timestamp}  {source}  {name}\n    {detail}").expect("strings take text");
+    }
+    let codes = lines.iter().filter_map(|line| Some((line, line.value("code")?.parse().ok()?)));
+    if let Some((line, code)) = codes.last() {
+        writeln!(text, "{}", conclusion(line, code)).expect("strings take text");
+    }
+    text
+}
+
+/// What the last code says, in the words of `docs/ERRORS.md`.
+fn conclusion(line: &LogLine, code: ResultCode) -> String {
+    let outcome = match code.outcome() {
+        Outcome::Answered => "the caller got a target's own answer",
+        Outcome::NotRun => "no target ran the request",
+        Outcome::Unknown => "a target may have run the request; its answer did not come",
+    };
+    let place = line.value("target").map_or_else(
+        || "No target was chosen".to_string(),
+        |target| {
+            format!(
+                "The last target was {target}, chosen by a load report {} ms old",
+                line.value("load_age_ms").unwrap_or("of unknown age,")
+            )
+        },
+    );
+    format!("{} {code}: {outcome}. {place}.", code.number())
+}
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod diff;
 mod drain;
 mod dump;
+mod explain;
 mod history;
 mod pools;
 mod routes;
@@ -46,6 +47,7 @@
     History(history::History),
     Dump(dump::Dump),
     Drain(drain::Drain),
+    Explain(explain::Explain),
 }
 
 impl Operator {
@@ -61,6 +63,7 @@
             Command::History(command) => command.run(client, self.json),
             Command::Dump(command) => command.run(client),
             Command::Drain(command) => command.run(client, self.json),
+            Command::Explain(command) => command.run(self.json),
         }
     }
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -33,6 +33,8 @@
     Unknown { reason: String, edit_id: String },
     #[error("There is no row '{0}'.")]
     NoRow(String),
+    #[error("No line of these logs names the request '{0}'.")]
+    NoRequest(String),
     #[error("{0}")]
     NotYet(String),
 }
@@ -41,6 +43,7 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::Read { .. } | Self::Table { .. } | Self::Invalid(_) | Self::NoRow(_) => 2,
+            Self::NoRequest(_) => 2,
             Self::NotAccepted(answer) if answer.code == ResultCode::EditConflict => 4,
             Self::NotAccepted(answer) if answer.code == ResultCode::StoreAway => 1,
             Self::Refused(_) | Self::NotAccepted(_) => 3,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod client;
 mod cmd;
 mod error;
+mod log_line;
 mod print;
 mod rows;
 mod tables;
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -13,6 +13,8 @@
     DaemonStopped = 103,
     SettingsChanged = 104,
     SettingsRefused = 105,
+    LogsLeftOut = 106,
+    SettingsReread = 107,
     VersionApplied = 200,
     VersionRefused = 201,
     SnapshotApplied = 202,
@@ -46,6 +48,11 @@
     RequestFailed = 800,
     AttemptRepeated = 801,
     HeaderDropped = 802,
+    RequestAnswered = 803,
+    DoorRefused = 804,
+    HandOverFailed = 805,
+    RequestRun = 806,
+    RequestCancelled = 807,
 }
 
 impl Event {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 mod keeper;
 pub mod link;
 pub mod log;
+pub mod log_budget;
 pub mod matching;
 pub mod membership;
 pub mod mesh;
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,12 +1,105 @@
-//! Structured logs: one JSON object a line, each with the number of its event.
+//! Structured logs: one JSON object a line on standard output, each with the number of its event.
+//!
+//! Logging never holds a daemon up. Lines wait in a bounded buffer and are written only while the
+//! reader of the pipe takes them; [`LogBudget`] bounds how many there are. What is left out, for
+//! either reason, is counted and logged.
 
 use crate::settings::LogLevel;
-use logforth::append::Stderr;
-use logforth::layout::JsonLayout;
-use logforth::record::{Level, LevelFilter};
+use logforth::append::Append;
+use logforth::diagnostic::Diagnostic;
+use logforth::layout::{JsonLayout, Layout};
+use logforth::record::{Level, LevelFilter, Record};
 use pomeloreach_core::event::{Event, EventRecord};
+use pomeloreach_core::log_budget::LogBudget;
+use pomeloreach_wire::clock::Clock;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use std::collections::VecDeque;
+use std::sync::{LazyLock, Mutex, MutexGuard, PoisonError};
 
-/// Sends logs to standard error from now on.
+/// Bytes of lines that wait for the reader: about a thousand lines.
+const BUFFER_BYTES_MAX: usize = 256 * 1024;
+/// Bytes that are written at once. A pipe that is ready takes this many without blocking
+/// (`PIPE_BUF` on Linux).
+const WRITE_BYTES: usize = 4_096;
+/// How often waiting lines should be written in any case, in milliseconds.
+pub const FLUSH_MS: u64 = 200;
+
+static OUTLET: LazyLock<Mutex<Outlet>> = LazyLock::new(Mutex::default);
+static CLOCK: LazyLock<Clock> = LazyLock::new(Clock::default);
+
+/// Lines on their way to standard output.
+#[derive(Debug, Default)]
+struct Outlet {
+    budget: LogBudget,
+    waiting: VecDeque<u8>,
+    /// Lines that the reader was too slow for.
+    lost: u64,
+}
+
+impl Outlet {
+    fn push(&mut self, line: &[u8]) {
+        if self.waiting.len() + line.len() > BUFFER_BYTES_MAX {
+            self.lost += 1;
+            return;
+        }
+        self.waiting.extend(line);
+        if self.waiting.len() >= WRITE_BYTES {
+            self.write();
+        }
+    }
+
+    /// Writes what the reader takes now.
+    fn write(&mut self) {
+        while !self.waiting.is_empty() && is_ready() {
+            let (front, _) = self.waiting.as_slices();
+            let bytes = &front[..front.len().min(WRITE_BYTES)];
+            match rustix::io::write(rustix::stdio::stdout(), bytes) {
+                Ok(written) => drop(self.waiting.drain(..written)),
+                Err(rustix::io::Errno::INTR) => {}
+                Err(_) => {
+                    // Nobody reads any more, and there is nowhere to say so.
+                    self.waiting.clear();
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn is_ready() -> bool {
+    let stdout = rustix::stdio::stdout();
+    let mut polled = [PollFd::new(&stdout, PollFlags::OUT)];
+    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+    matches!(poll(&mut polled, Some(&at_once)), Ok(ready) if ready > 0)
+}
+
+fn outlet() -> MutexGuard<'static, Outlet> {
+    OUTLET.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Hands formatted records to the outlet.
+#[derive(Debug)]
+struct BoundedStdout(JsonLayout);
+
+impl Append for BoundedStdout {
+    fn append(
+        &self,
+        record: &Record,
+        diagnostics: &[Box<dyn Diagnostic>],
+    ) -> Result<(), logforth::Error> {
+        let mut line = self.0.format(record, diagnostics)?;
+        line.push(b'\n');
+        outlet().push(&line);
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), logforth::Error> {
+        outlet().write();
+        Ok(())
+    }
+}
+
+/// Sends logs to standard output from now on.
 pub fn start(log_level: LogLevel) {
     let level = match log_level {
         LogLevel::Error => Level::Error,
@@ -18,17 +111,54 @@
         .dispatch(|dispatch| {
             dispatch
                 .filter(LevelFilter::MoreSevereEqual(level))
-                .append(Stderr::default().with_layout(JsonLayout::default()))
+                .append(BoundedStdout(JsonLayout::default()))
         })
         .apply();
 }
 
+/// Writes waiting lines, and says which were left out. To be called every [`FLUSH_MS`].
+pub fn flush() {
+    let (left_out, lost) = {
+        let mut outlet = outlet();
+        (outlet.budget.due_report(CLOCK.now_ms()), std::mem::take(&mut outlet.lost))
+    };
+    report_left_out(left_out, lost);
+    log::logger().flush();
+}
+
+/// Writes what can be written of the last lines.
+pub fn finish() {
+    let left_out = outlet().budget.take_left_out();
+    report_left_out(left_out, 0);
+    log::logger().flush();
+}
+
+fn report_left_out(left_out: Vec<(Event, u64)>, lost: u64) {
+    for (event, count) in left_out {
+        write_event(Event::LogsLeftOut, &format!("of={event} count={count} reason=rate"));
+    }
+    if lost > 0 {
+        write_event(Event::LogsLeftOut, &format!("count={lost} reason=reader is slow"));
+    }
+}
+
 /// Logs an event of the control plane.
 pub fn log_record(record: &EventRecord) {
     log_event(record.event, &record.detail);
 }
 
 pub fn log_event(event: Event, detail: &str) {
+    log_with(event, || detail.to_string());
+}
+
+/// Logs an event whose detail is only worked out if the line is written.
+pub fn log_with(event: Event, detail: impl FnOnce() -> String) {
+    if outlet().budget.admits(event, CLOCK.now_ms()) {
+        write_event(event, &detail());
+    }
+}
+
+fn write_event(event: Event, detail: &str) {
     let (number, name) = (event.number(), event.to_string());
     match event {
         Event::VersionRefused
@@ -36,6 +166,7 @@
         | Event::StoreFailing
         | Event::PeerRefused
         | Event::SettingsRefused
+        | Event::LogsLeftOut
         | Event::HeartbeatRefused
         | Event::TargetUnreachable
         | Event::HeaderDropped
--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -270,6 +270,7 @@
             Err(StoreError::HistoryGone) => from = None,
             Err(error) => {
                 failures += 1;
+                mesh.metrics.store_failed();
                 is_reading = false;
                 mesh.config.rtt_ms.set(None);
                 let reason = error.to_string();
--- a/crates/daemon/src/mesh/control.rs
+++ b/crates/daemon/src/mesh/control.rs
@@ -1,6 +1,7 @@
 //! Heartbeats of the target beside this daemon, readiness, and the operators' dump.
 
 use super::Mesh;
+use super::metrics::Levels;
 use crate::logging::log_event;
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue};
@@ -18,6 +19,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+/// The type of the metrics' text.
+const OPEN_METRICS: HeaderValue =
+    HeaderValue::from_static("application/openmetrics-text; version=1.0.0; charset=utf-8");
+
 /// What may be sent to this port; a heartbeat has some hundred bytes.
 const LIMITS: ServerLimits = ServerLimits {
     header_bytes_max: 16 * 1024,
@@ -51,6 +56,7 @@
         Some(ControlCall::Readiness) if mesh.is_ready() => empty(StatusCode::OK),
         Some(ControlCall::Readiness) => empty(StatusCode::SERVICE_UNAVAILABLE),
         None if *method == Method::GET && path == "/dump" => json(&dump(mesh)),
+        None if *method == Method::GET && path == "/metrics" => metrics(mesh),
         None => empty(StatusCode::NOT_FOUND),
     }
 }
@@ -136,6 +142,25 @@
     }
 }
 
+fn metrics(mesh: &Rc<Mesh>) -> Response<Bytes> {
+    let levels = Levels {
+        version: mesh.config.version(),
+        links: mesh.links.out.borrow().len(),
+        in_flight: mesh.in_flight.get(),
+    };
+    match mesh.metrics.text(&levels) {
+        Ok(text) => {
+            let mut response = Response::new(Bytes::from(text));
+            response.headers_mut().insert(CONTENT_TYPE, OPEN_METRICS);
+            response
+        }
+        Err(error) => {
+            log_event(Event::InputRefused, &format!("call=metrics reason={error}"));
+            empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
 fn empty(status: StatusCode) -> Response<Bytes> {
     let mut response = Response::new(Bytes::new());
     *response.status_mut() = status;
--- a/crates/daemon/src/mesh/directory.rs
+++ b/crates/daemon/src/mesh/directory.rs
@@ -53,7 +53,10 @@
                 mesh.config.note_rtt(mesh.now_ms() - began_ms);
                 return done;
             }
-            Err(error) => log_event(Event::StoreFailing, &format!("call=directory reason={error}")),
+            Err(error) => {
+                mesh.metrics.store_failed();
+                log_event(Event::StoreFailing, &format!("call=directory reason={error}"));
+            }
         }
         sleep_ms(mesh.jittered(pause_ms)).await;
         pause_ms = (pause_ms * 2).min(RETRY_MS_MAX);
--- a/crates/daemon/src/mesh/door.rs
+++ b/crates/daemon/src/mesh/door.rs
@@ -1,8 +1,8 @@
 //! The door of the target beside this daemon: admission, and what became of each request.
 
 use super::Mesh;
-use super::hand_over::{hand_over, passed_headers};
-use crate::logging::log_event;
+use super::hand_over::{HandedOver, hand_over, passed_headers, request_id};
+use crate::logging::{log_event, log_with};
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use futures_lite::future::{or, pending};
@@ -184,6 +184,7 @@
     mesh.spawn(async move {
         let has_begun = Cell::new(false);
         let is_idempotent = call.terms.is_idempotent;
+        let request_id = request_id(&call.request);
         let running = async { Some(run(&task_mesh, call, &has_begun).await) };
         let cancelling = async {
             cancelled.recv().await.ok();
@@ -194,6 +195,7 @@
                 }
                 sleep_ms(CANCEL_MS).await;
             }
+            note_cancelled(&task_mesh, &request_id, has_begun.get());
             None
         };
         if let Some(answered) = or(running, cancelling).await {
@@ -267,13 +269,14 @@
     let is_current =
         mesh.target.borrow().last().is_some_and(|last| last.id == call.request.instance);
     if !is_current {
-        return refusal(mesh, ResultCode::WrongInstance, false);
+        return refuse(mesh, &call, ResultCode::WrongInstance);
     }
     let mut place = match enter(mesh, &call, now_ms, deadline_ms).await {
         Ok(place) => place,
-        Err(code) => return refusal(mesh, code, false),
+        Err(code) => return refuse(mesh, &call, code),
     };
     has_begun.set(true);
+    mesh.metrics.door_waited(mesh.now_ms() - now_ms);
     let answered = hand_over(mesh, &call, deadline_ms).await;
     let now_ms = mesh.now_ms();
     let has_failed = match &answered {
@@ -283,7 +286,9 @@
     place.is_measured = matches!(&answered, Ok(answer) if !answer.status().is_server_error())
         || matches!(&answered, Err((ResultCode::DeadlineAfterRun, _)));
     let service_ms = place.is_measured.then(|| (now_ms - place.since_ms) as u32);
+    let took_ms = now_ms - place.since_ms;
     drop(place);
+    note_run(mesh, &call, &answered, took_ms);
     mesh.door.state.borrow_mut().note_result(has_failed, now_ms);
     match answered {
         Ok(answer) => {
@@ -302,6 +307,53 @@
     }
 }
 
+/// Refuses a request that was not handed to the target.
+fn refuse(mesh: &Mesh, call: &DoorRequest, code: ResultCode) -> DoorAnswer {
+    mesh.metrics.door_refused(code);
+    log_with(Event::DoorRefused, || {
+        let load = mesh.door.load(mesh.now_ms());
+        format!(
+            "request={} target={} code={code} rank={} running={} waiting={} slots={} \
+             service_ms={:.0} usual_ms={:?} goal_ms={} left_ms={} wait_max_ms={:?}",
+            request_id(&call.request),
+            call.request.instance,
+            call.terms.rank,
+            load.running,
+            load.waiting,
+            load.slots,
+            load.service_ms,
+            call.terms.service_ms,
+            call.terms.goal_ms,
+            call.request.deadline_ms,
+            call.terms.wait_max_ms
+        )
+    });
+    refusal(mesh, code, false)
+}
+
+fn note_run(mesh: &Mesh, call: &DoorRequest, run: &HandedOver, took_ms: u64) {
+    mesh.metrics.target_took(took_ms);
+    let target = &call.request.instance;
+    match run {
+        Ok(answer) => log_with(Event::RequestRun, || {
+            let (id, status) = (request_id(&call.request), answer.status().as_u16());
+            format!("request={id} target={target} status={status} took_ms={took_ms}")
+        }),
+        Err((code, reached_target)) => log_with(Event::HandOverFailed, || {
+            let id = request_id(&call.request);
+            format!(
+                "request={id} target={target} code={code} reached={reached_target} \
+                 took_ms={took_ms}"
+            )
+        }),
+    }
+}
+
+fn note_cancelled(mesh: &Mesh, request_id: &str, has_begun: bool) {
+    mesh.metrics.cancelled();
+    log_with(Event::RequestCancelled, || format!("request={request_id} handed_over={has_begun}"));
+}
+
 fn refusal(mesh: &Mesh, code: ResultCode, reached_target: bool) -> DoorAnswer {
     let state = mesh.door.state.borrow();
     DoorAnswer {
--- a/crates/daemon/src/mesh/hand_over.rs
+++ b/crates/daemon/src/mesh/hand_over.rs
@@ -24,13 +24,12 @@
 /// How much sooner than the target's own limit an idle connection is given up, in milliseconds.
 const IDLE_MARGIN_MS: u64 = 1_000;
 
+/// The target's answer, or why there is none and whether the request reached the target.
+pub type HandedOver = Result<Response<Bytes>, (ResultCode, bool)>;
+
 /// Hands a request to the target. An error says whether the request reached the target, and by its
 /// code whether it may have run.
-pub async fn hand_over(
-    mesh: &Rc<Mesh>,
-    call: &DoorRequest,
-    deadline_ms: u64,
-) -> Result<Response<Bytes>, (ResultCode, bool)> {
+pub async fn hand_over(mesh: &Rc<Mesh>, call: &DoorRequest, deadline_ms: u64) -> HandedOver {
     let mut connection = connect(mesh).await?;
     let left_ms = deadline_ms.saturating_sub(mesh.now_ms());
     let request = target_request(call, left_ms).ok_or((ResultCode::RequestCut, false))?;
@@ -53,7 +52,7 @@
     request_id: &str,
     connection: Connection,
     answer: Response<Bytes>,
-) -> Result<Response<Bytes>, (ResultCode, bool)> {
+) -> HandedOver {
     let said = headers::target_head(answer.headers(), request_id);
     if answer.status() == StatusCode::MISDIRECTED_REQUEST {
         mesh.target.borrow_mut().unreachable();
@@ -128,7 +127,7 @@
 }
 
 /// The id that the caller gave its request.
-fn request_id(request: &CallRequest) -> Arc<str> {
+pub fn request_id(request: &CallRequest) -> Arc<str> {
     let id = request.headers.iter().find(|header| headers::is_request_id(&header.name));
     id.map(|header| header.value.clone()).unwrap_or_default()
 }
--- /dev/null
+++ b/crates/daemon/src/mesh/metrics.rs
@@ -0,0 +1,156 @@
+//! Counters and latency histograms that are read as text; see `docs/METRICS.md`.
+//!
+//! `cadence` sends metrics over UDP, which a platform without a statsd server cannot take. Here they
+//! are fetched, in the OpenMetrics format.
+
+use pomeloreach_core::code::ResultCode;
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+
+/// The upper bounds of the histograms' buckets, in seconds: from a call within a VM to the longest
+/// deadline that was seen.
+const BUCKETS_S: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.5, 5.0];
+
+/// How something ended, by the name of its result code.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Ended {
+    code: String,
+}
+
+/// The metrics of one daemon.
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<Ended, Counter>,
+    attempts: Counter,
+    retries: Counter,
+    door_refusals: Family<Ended, Counter>,
+    cancelled: Counter,
+    request_time: Histogram,
+    door_wait: Histogram,
+    target_time: Histogram,
+    version: Gauge,
+    links: Gauge,
+    in_flight: Gauge,
+    store_failures: Counter,
+}
+
+/// What is read when the metrics are asked for.
+pub struct Levels {
+    pub version: u64,
+    pub links: usize,
+    pub in_flight: u32,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("pomeloreach");
+        let histogram = || Histogram::new(BUCKETS_S);
+        let metrics = Self {
+            registry: Registry::default(),
+            requests: Family::default(),
+            attempts: Counter::default(),
+            retries: Counter::default(),
+            door_refusals: Family::default(),
+            cancelled: Counter::default(),
+            request_time: histogram(),
+            door_wait: histogram(),
+            target_time: histogram(),
+            version: Gauge::default(),
+            links: Gauge::default(),
+            in_flight: Gauge::default(),
+            store_failures: Counter::default(),
+        };
+        registry.register("requests", "Requests of callers, by result", metrics.requests.clone());
+        registry.register("attempts", "Attempts at targets", metrics.attempts.clone());
+        registry.register("retries", "Attempts paid by the retry budget", metrics.retries.clone());
+        registry.register(
+            "door_refusals",
+            "Requests that the door of the target refused, by result",
+            metrics.door_refusals.clone(),
+        );
+        registry.register("cancelled", "Requests whose callers left", metrics.cancelled.clone());
+        registry.register_with_unit(
+            "request_time",
+            "From a request's arrival to its answer",
+            Unit::Seconds,
+            metrics.request_time.clone(),
+        );
+        registry.register_with_unit(
+            "door_wait",
+            "The wait for a slot at the target",
+            Unit::Seconds,
+            metrics.door_wait.clone(),
+        );
+        registry.register_with_unit(
+            "target_time",
+            "The time at the target",
+            Unit::Seconds,
+            metrics.target_time.clone(),
+        );
+        registry.register("version", "The configuration in force", metrics.version.clone());
+        registry.register("links", "Links to peers that calls can use", metrics.links.clone());
+        registry.register("in_flight", "Unanswered requests of callers", metrics.in_flight.clone());
+        registry.register(
+            "store_failures",
+            "Calls to the store without an answer that could be used",
+            metrics.store_failures.clone(),
+        );
+        Self { registry, ..metrics }
+    }
+}
+
+impl Metrics {
+    pub fn request_ended(&self, code: ResultCode, took_ms: u64) {
+        self.requests.get_or_create(&ended(code)).inc();
+        self.request_time.observe(seconds(took_ms));
+    }
+
+    pub fn attempt_began(&self, is_retry: bool) {
+        self.attempts.inc();
+        if is_retry {
+            self.retries.inc();
+        }
+    }
+
+    pub fn door_refused(&self, code: ResultCode) {
+        self.door_refusals.get_or_create(&ended(code)).inc();
+    }
+
+    pub fn cancelled(&self) {
+        self.cancelled.inc();
+    }
+
+    pub fn door_waited(&self, waited_ms: u64) {
+        self.door_wait.observe(seconds(waited_ms));
+    }
+
+    pub fn target_took(&self, took_ms: u64) {
+        self.target_time.observe(seconds(took_ms));
+    }
+
+    pub fn store_failed(&self) {
+        self.store_failures.inc();
+    }
+
+    /// Everything as text.
+    pub fn text(&self, levels: &Levels) -> Result<String, std::fmt::Error> {
+        self.version.set(levels.version.cast_signed());
+        self.links.set(i64::try_from(levels.links).unwrap_or(i64::MAX));
+        self.in_flight.set(levels.in_flight.into());
+        let mut text = String::new();
+        text::encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
+
+fn ended(code: ResultCode) -> Ended {
+    Ended { code: code.to_string() }
+}
+
+fn seconds(ms: u64) -> f64 {
+    ms as f64 / 1_000.0
+}
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -14,11 +14,12 @@
 mod hand_over;
 mod links;
 mod listener;
+mod metrics;
 mod report;
 mod request;
 
 use crate::error::DaemonError;
-use crate::logging::log_event;
+use crate::logging::{self, log_event, log_with};
 use crate::settings::{MeshSettings, Settings};
 use crate::shared::{listen, random_seed};
 use async_channel::{Receiver, Sender};
@@ -69,6 +70,7 @@
     pub links: links::Links,
     pub target: RefCell<TargetTable>,
     pub door: door::Door,
+    pub metrics: metrics::Metrics,
     pub config: config::Holder,
     pub shares: RefCell<Shares>,
     pub budgets: RefCell<BTreeMap<Arc<str>, RetryBudget>>,
@@ -187,6 +189,7 @@
         links: links::Links::default(),
         target: RefCell::new(TargetTable::new(mesh_settings.heartbeat_ms)),
         door: door::Door::default(),
+        metrics: metrics::Metrics::default(),
         config: config::Holder::default(),
         shares: RefCell::new(Shares::default()),
         budgets: RefCell::new(BTreeMap::new()),
@@ -210,10 +213,20 @@
     mesh.spawn(callers::accept(mesh.clone(), ready_listener, control::Operators(mesh.clone())));
     mesh.spawn(callers::accept(mesh.clone(), caller_listener, callers::Callers(mesh.clone())));
     mesh.spawn(watch_settings(mesh.clone(), path.clone()));
-    log_event(
-        Event::DaemonStarted,
-        &format!("instance={} start={}", mesh.own.name, mesh.own.start_id),
-    );
+    mesh.spawn(flush_logs());
+    let settings = &mesh.settings;
+    log_with(Event::DaemonStarted, || {
+        format!(
+            "instance={} start={} zone={} service={} caller_addr={} link_addr={} store={}",
+            mesh.own.name,
+            mesh.own.start_id,
+            mesh.own.zone,
+            mesh.own.service,
+            settings.caller_addr,
+            settings.control_addr,
+            settings.platform_addr
+        )
+    });
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Hup) => reload(&mesh, &path),
@@ -234,12 +247,21 @@
         Ok(_) => return log_event(Event::SettingsRefused, "reason=the section 'mesh' is missing"),
         Err(error) => return log_event(Event::SettingsRefused, &format!("reason={error}")),
     };
+    log_event(Event::SettingsReread, &format!("path={}", path.display()));
     if changed != **mesh.mesh_settings.borrow() {
         log_event(Event::SettingsChanged, &format!("{changed:?}"));
         *mesh.mesh_settings.borrow_mut() = Rc::new(changed);
     }
 }
 
+/// Writes waiting log lines at a steady pace, so that none waits for the next one.
+async fn flush_logs() {
+    loop {
+        sleep_ms(logging::FLUSH_MS).await;
+        logging::flush();
+    }
+}
+
 async fn watch_settings(mesh: Rc<Mesh>, path: PathBuf) {
     let mut read = std::fs::read(&path).ok();
     loop {
@@ -277,4 +299,5 @@
     }
     let (in_flight, at_target) = (mesh.in_flight.get(), mesh.door.in_flight());
     log_event(Event::DaemonStopped, &format!("in_flight={in_flight} at_target={at_target}"));
+    logging::finish();
 }
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -4,7 +4,7 @@
 use super::answer::{Reply, pass_on, refuse};
 use super::attempt;
 use super::hand_over::passed_headers;
-use crate::logging::log_event;
+use crate::logging::log_with;
 use async_channel::Sender;
 use async_executor::Task;
 use bytes::Bytes;
@@ -20,9 +20,11 @@
 use pomeloreach_core::mesh::message::{CallTerms, DoorAnswer, DoorRequest};
 use pomeloreach_core::mesh::placer::{self, Ask, Choice};
 use pomeloreach_core::mesh::retry_after::{self, Refused};
+use pomeloreach_core::mesh::state::TargetLoad;
 use pomeloreach_core::mesh::usual::UsualTimes;
 use pomeloreach_platform::headers;
 use pomeloreach_wire::clock::within_ms;
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -48,17 +50,40 @@
     /// A target's own failure, which is passed on if nothing better comes.
     failure: Option<Reply>,
     retry_after_ms: u64,
+    /// Where the last attempt went, and why.
+    placed: Option<Placed>,
+}
+
+/// What the choice of a target was based on.
+struct Placed {
+    daemon: Arc<str>,
+    target_id: Arc<str>,
+    load: TargetLoad,
+    /// How old the load was, in milliseconds.
+    load_age_ms: u64,
+}
+
+impl fmt::Display for Placed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { daemon, target_id, load, load_age_ms } = self;
+        write!(
+            f,
+            "daemon={daemon} target={target_id} load_age_ms={load_age_ms} running={} waiting={} \
+             slots={} service_ms={:.0} failed_permille={}",
+            load.running, load.waiting, load.slots, load.service_ms, load.failed_permille
+        )
+    }
 }
 
 /// Serves one request from its arrival to its answer.
 pub async fn serve(mesh: &Rc<Mesh>, head: Parts, body: Bytes, arrived_ms: u64) -> Response<Bytes> {
     let said = headers::caller_head(&head.headers);
     let Some(routes) = mesh.config.routes() else {
-        return refuse(&said.request_id, ResultCode::DaemonNotReady, RETRY_AFTER_UNKNOWN_MS);
+        return turn_away(mesh, &said.request_id, ResultCode::DaemonNotReady);
     };
     let path = head.uri.path();
     let Some(route) = routes.find(&host(&head), path, head.method.as_str()) else {
-        return refuse(&said.request_id, ResultCode::NoRoute, 0);
+        return turn_away(mesh, &said.request_id, ResultCode::NoRoute);
     };
     let part = mesh.shares.borrow_mut().next(route).clone();
     let allowed_ms = u64::from(route.route.deadline_ms);
@@ -78,12 +103,22 @@
         goal_ms: (arrived_ms + goal_ms).min(deadline_ms),
         failure: None,
         retry_after_ms: 0,
+        placed: None,
     };
     serving.earn_retries();
     let ended = serving.run().await;
     serving.respond(ended)
 }
 
+/// Refuses a request that has no route here.
+fn turn_away(mesh: &Rc<Mesh>, request_id: &str, code: ResultCode) -> Response<Bytes> {
+    mesh.metrics.request_ended(code, 0);
+    log_with(Event::RequestFailed, || {
+        format!("request={request_id} code={code} version={}", mesh.config.version())
+    });
+    refuse(request_id, code, RETRY_AFTER_UNKNOWN_MS)
+}
+
 fn host(head: &Parts) -> String {
     let header = head.headers.get(HOST).and_then(|value| value.to_str().ok());
     let host = header.or_else(|| head.uri.host()).unwrap_or_default();
@@ -154,7 +189,10 @@
         if self.attempts.is_retry() && !self.spend_retry(now_ms) {
             return Err(ResultCode::RetryBudgetSpent);
         }
-        self.attempts.began(peer.clone().unwrap_or_else(|| self.mesh.own.name.clone()));
+        self.mesh.metrics.attempt_began(self.attempts.is_retry());
+        let daemon = peer.clone().unwrap_or_else(|| self.mesh.own.name.clone());
+        self.placed = self.placed_at(daemon.clone(), target_id.clone(), now_ms);
+        self.attempts.began(daemon);
         // The last daemon that may be asked is better than none.
         let wait_max_ms = wait_max_ms.filter(|_| !self.attempts.is_last());
         let request = self.door_request(target_id, wait_max_ms, now_ms);
@@ -166,6 +204,20 @@
         }))
     }
 
+    fn placed_at(&self, daemon: Arc<str>, target_id: Arc<str>, now_ms: u64) -> Option<Placed> {
+        let peers = self.mesh.peers.borrow();
+        let (load, load_age_ms) = match peers.get(&daemon) {
+            Some(peer) => (peer.ready_target()?.load, now_ms.saturating_sub(peer.heard_ms)),
+            None => (self.mesh.door.load(now_ms), 0),
+        };
+        Some(Placed { daemon, target_id, load, load_age_ms })
+    }
+
+    /// The last choice of a target, for the logs.
+    fn placed(&self) -> &dyn fmt::Display {
+        self.placed.as_ref().map_or(&"daemon=none", |placed| placed)
+    }
+
     /// Holds a stalled attempt against daemons that have been silent since it began.
     fn suspect(&self, began_ms: u64) {
         let now_ms = self.mesh.now_ms();
@@ -235,15 +287,17 @@
     }
 
     fn log_attempt(&self, code: ResultCode) {
-        let tried = self.attempts.tried().len();
-        let detail = format!(
-            "request={} route={} code={code} tried={tried} reached={} age_ms={}",
-            self.request_id,
-            self.route.name,
-            self.attempts.reached(),
-            self.mesh.now_ms() - self.arrived_ms
-        );
-        log_event(Event::AttemptRepeated, &detail);
+        log_with(Event::AttemptRepeated, || {
+            format!(
+                "request={} route={} code={code} tried={} reached={} age_ms={} {}",
+                self.request_id,
+                self.route.name,
+                self.attempts.tried().len(),
+                self.attempts.reached(),
+                self.mesh.now_ms() - self.arrived_ms,
+                self.placed()
+            )
+        });
     }
 
     /// Ends the request without a new answer: with a target's own failure if there is one.
@@ -280,38 +334,49 @@
     }
 
     fn respond(&mut self, ended: Result<Reply, ResultCode>) -> Response<Bytes> {
-        let took_ms = self.mesh.now_ms() - self.arrived_ms;
-        match ended {
-            Ok(reply) => {
-                if reply.response.http_status < 500 {
-                    self.note(|usual| usual.note_answer(took_ms as f64));
-                }
-                pass_on(reply)
-            }
+        let now_ms = self.mesh.now_ms();
+        let took_ms = now_ms - self.arrived_ms;
+        let code = ended.as_ref().err().copied().unwrap_or(ResultCode::Answered);
+        self.mesh.metrics.request_ended(code, took_ms);
+        let reply = match ended {
+            Ok(reply) => reply,
             Err(code) => {
-                let left_ms = self.attempts.left_ms(self.mesh.now_ms());
-                let detail = format!(
-                    "request={} route={} rank={} service={} code={code} tried={} reached={} took_ms={took_ms} \
-                     left_ms={left_ms} retry_after_ms={}",
-                    self.request_id,
-                    self.route.name,
-                    self.route.route.priority,
-                    self.service,
-                    self.attempts.tried().len(),
-                    self.attempts.reached(),
-                    self.retry_after_ms
-                );
-                log_event(Event::RequestFailed, &detail);
                 let refused = Refused {
                     wait_ms: self.retry_after_ms,
-                    left_ms,
+                    left_ms: self.attempts.left_ms(now_ms),
                     rank: self.route.route.priority,
                     random: self.mesh.random(),
                 };
                 let hint_ms = retry_after::hint_ms(refused);
-                refuse(&self.request_id, code, hint_ms)
+                self.log_end(Event::RequestFailed, code, took_ms, hint_ms);
+                return refuse(&self.request_id, code, hint_ms);
             }
+        };
+        if reply.response.http_status < 500 {
+            self.note(|usual| usual.note_answer(took_ms as f64));
+            self.log_end(Event::RequestAnswered, code, took_ms, 0);
+        } else {
+            self.log_end(Event::RequestFailed, code, took_ms, 0);
         }
+        pass_on(reply)
+    }
+
+    fn log_end(&self, event: Event, code: ResultCode, took_ms: u64, retry_after_ms: u64) {
+        log_with(event, || {
+            format!(
+                "request={} route={} version={} rank={} service={} code={code} tried={} \
+                 reached={} took_ms={took_ms} left_ms={} retry_after_ms={retry_after_ms} {}",
+                self.request_id,
+                self.route.name,
+                self.mesh.config.version(),
+                self.route.route.priority,
+                self.service,
+                self.attempts.tried().len(),
+                self.attempts.reached(),
+                self.attempts.left_ms(self.mesh.now_ms()),
+                self.placed()
+            )
+        });
     }
 
     fn usual(&self) -> UsualTimes {
