--- a/crates/core/src/mesh/peers.rs
+++ b/crates/core/src/mesh/peers.rs
@@ -176,6 +176,13 @@
         }
     }
 
+    /// A VM was removed. A daemon that still answers is kept until its link ends.
+    pub fn forget(&mut self, name: &str) {
+        if self.peers.get(name).is_some_and(|peer| !peer.is_linked) {
+            self.peers.remove(name);
+        }
+    }
+
     /// Peers to dial now. Marks them as being dialled.
     pub fn due(&mut self, now_ms: u64) -> Vec<DaemonRecord> {
         let mut due = Vec::new();
--- a/crates/daemon/src/mesh/directory.rs
+++ b/crates/daemon/src/mesh/directory.rs
@@ -3,10 +3,10 @@
 //! Writing before listing makes sure that of two daemons that start together, one finds the other.
 //! From then on links carry what is known, so that the store may be away.
 
-use super::Mesh;
+use super::{Mesh, links};
 use crate::logging::log_event;
 use pomeloreach_core::event::Event;
-use pomeloreach_platform::store::{StoreClient, StoreError};
+use pomeloreach_platform::store::{DaemonList, StoreClient, StoreError};
 use pomeloreach_wire::clock::sleep_ms;
 use std::rc::Rc;
 
@@ -16,29 +16,50 @@
 const RETRY_MS: u64 = 250;
 /// The longest pause, in milliseconds: entries must be back two seconds after the store is.
 const RETRY_MS_MAX: u64 = 1_000;
-/// How often the list is read again, in milliseconds, for a daemon that was missed. Links tell of
-/// new daemons much sooner.
-const REFRESH_MS: u64 = 12_000;
+/// How often changes are asked for, in milliseconds, for a daemon that was missed. Links tell of new
+/// daemons much sooner. With its spread this stays below the store's history of twenty seconds.
+const REFRESH_MS: u64 = 8_000;
 
 /// Announces this daemon, and learns of the others.
 pub async fn keep(mesh: Rc<Mesh>) {
     let store = StoreClient::new(mesh.settings.platform_addr);
     until_done(&mesh, || store.announce(&mesh.own, ANSWER_MS)).await;
-    let mut may_be_old = false;
+    let mut is_first = true;
     loop {
+        // Only the first list must have whatever was announced before.
+        let may_be_old = !std::mem::take(&mut is_first);
         let list = until_done(&mesh, || store.daemons(may_be_old, ANSWER_MS)).await;
-        let now_ms = mesh.now_ms();
-        for reason in list.unreadable {
-            log_event(Event::InputRefused, &format!("call=directory reason={reason}"));
-        }
-        for record in list.records {
-            mesh.peers.borrow_mut().learn(record, false, now_ms);
+        let mut revision = list.revision;
+        learn(&mesh, list);
+        loop {
+            sleep_ms(mesh.jittered(REFRESH_MS)).await;
+            match store.daemon_changes(revision, ANSWER_MS).await {
+                Ok(changes) => {
+                    revision = changes.list.revision;
+                    learn(&mesh, changes.list);
+                    for name in changes.removed {
+                        mesh.peers.borrow_mut().forget(&name);
+                    }
+                }
+                Err(StoreError::HistoryGone) => break,
+                Err(error) => note_failure(&mesh, &error),
+            }
         }
-        may_be_old = true;
-        sleep_ms(mesh.jittered(REFRESH_MS)).await;
     }
 }
 
+fn learn(mesh: &Rc<Mesh>, list: DaemonList) {
+    for reason in list.unreadable {
+        log_event(Event::InputRefused, &format!("call=directory reason={reason}"));
+    }
+    links::learn(mesh, list.records);
+}
+
+fn note_failure(mesh: &Rc<Mesh>, error: &StoreError) {
+    mesh.metrics.store_failed();
+    log_event(Event::StoreFailing, &format!("call=directory reason={error}"));
+}
+
 /// Repeats a call until the store confirms it.
 async fn until_done<T, F, Fut>(mesh: &Rc<Mesh>, call: F) -> T
 where
@@ -53,10 +74,7 @@
                 mesh.config.note_rtt(mesh.now_ms() - began_ms);
                 return done;
             }
-            Err(error) => {
-                mesh.metrics.store_failed();
-                log_event(Event::StoreFailing, &format!("call=directory reason={error}"));
-            }
+            Err(error) => note_failure(mesh, &error),
         }
         sleep_ms(mesh.jittered(pause_ms)).await;
         pause_ms = (pause_ms * 2).min(RETRY_MS_MAX);
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -179,7 +179,7 @@
         region: settings.region.clone(),
         zone: settings.zone.clone(),
         service: mesh_settings.service.clone(),
-        link_addr: settings.control_addr,
+        link_addr: settings.advertised_addr.unwrap_or(settings.control_addr),
     };
     let clock = Clock::default();
     let mesh = Rc::new(Mesh {
--- a/crates/daemon/src/mesh/report.rs
+++ b/crates/daemon/src/mesh/report.rs
@@ -11,12 +11,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// How often a changed load is told to peers of the same zone, in milliseconds: placing by loads
-/// that are older herds requests.
-const ZONE_LOAD_MS: u64 = 250;
-/// The same for peers of other zones, whose bytes are paid for. They get fewer requests from here,
-/// and each answer tells the load too.
-const REGION_LOAD_MS: u64 = 500;
+/// How often a changed load is told to peers of the same zone, in milliseconds. A door refuses what
+/// was placed by a load that is no longer true, and each answer tells the load too.
+const ZONE_LOAD_MS: u64 = 500;
+/// The same for peers of other zones, whose bytes are paid for.
+const REGION_LOAD_MS: u64 = 1_000;
 /// How often peers of the same region hear something in any case, in milliseconds.
 const HEARTBEAT_MS: u64 = 1_000;
 /// How often peers of other regions hear something, in milliseconds.
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -43,6 +43,10 @@
     pub zone: Arc<str>,
     /// Where other daemons reach this one, over UDP.
     pub control_addr: SocketAddr,
+    /// Where other daemons are told to reach this one, if not at `control_addr`: for a host behind
+    /// address translation.
+    #[serde(default)]
+    pub advertised_addr: Option<SocketAddr>,
     /// Where callers send their requests.
     pub caller_addr: SocketAddr,
     /// Where operators and the target beside the daemon talk to it.
--- a/crates/standins/src/replay.rs
+++ b/crates/standins/src/replay.rs
@@ -21,8 +21,8 @@
 use std::sync::Arc;
 use strum::{Display, EnumIter, EnumString};
 
-/// How often daemons report their load, in milliseconds, as the daemon does between zones.
-const REPORT_MS: u64 = 500;
+/// How often daemons report their load, in milliseconds, as the daemon does between zones of a region.
+const REPORT_MS: u64 = 1000;
 /// The way between two zones of a region and between two regions, in milliseconds.
 const ZONE_WAY_MS: u64 = 2;
 const REGION_WAY_MS: u64 = 31;
