--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -46,8 +46,8 @@
     AskConfig {
         held_version: u64,
     },
-    /// A [`crate::mesh::delta::Delta`] as JSON: rows leave defaults out, which the links' own
-    /// encoding cannot express.
+    /// A [`crate::mesh::delta::Delta`] as compressed JSON: rows leave defaults out, which the
+    /// links' own encoding cannot express.
     Rows {
         delta: Bytes,
     },
--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -12,6 +12,7 @@
 use pomeloreach_core::mesh::state::ConfigState;
 use pomeloreach_platform::store::{ConfigRead, StoreClient, StoreError};
 use pomeloreach_wire::clock::sleep_ms;
+use pomeloreach_wire::compress;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use strum::Display;
@@ -38,6 +39,10 @@
 /// milliseconds: half of the time after which two readers renew it.
 const CONFIRMED_STEP_MS: i64 = 400;
 
+/// The largest row changes, in bytes: a whole configuration of the largest size that the store
+/// takes, with room for another encoding.
+const DELTA_BYTES_MAX: usize = 4 * 1024 * 1024;
+
 struct InForce {
     published: Published,
     routes: Rc<RouteTable>,
@@ -125,7 +130,7 @@
         false
     }
 
-    /// The rows that a peer with some version needs, as JSON.
+    /// The rows that a peer with some version needs, as compressed JSON.
     pub fn delta_since(&self, held_version: u64) -> Option<Bytes> {
         let held = self.in_force.borrow();
         let held = held.as_ref()?;
@@ -142,7 +147,7 @@
         let delta = history.delta_since(held_version, &held.published, &held.digest);
         match serde_json::to_vec(&delta) {
             Ok(json) => {
-                let bytes = Bytes::from(json);
+                let bytes = Bytes::from(compress::compress(&json));
                 *encoded = Some((held_version, bytes.clone()));
                 Some(bytes)
             }
@@ -188,8 +193,15 @@
 }
 
 /// Applies what a peer sent.
-pub fn apply_delta(mesh: &Rc<Mesh>, json: &[u8], peer: &str) -> Applied {
-    let delta: Delta = match serde_json::from_slice(json) {
+pub fn apply_delta(mesh: &Rc<Mesh>, compressed: &[u8], peer: &str) -> Applied {
+    let json = match compress::decompress(compressed, DELTA_BYTES_MAX) {
+        Ok(json) => json,
+        Err(error) => {
+            log_event(Event::InputRefused, &format!("peer={peer} reason={error}"));
+            return Applied::Done;
+        }
+    };
+    let delta: Delta = match serde_json::from_slice(&json) {
         Ok(delta) => delta,
         Err(error) => {
             log_event(Event::InputRefused, &format!("peer={peer} reason={error}"));
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! How messages travel: frames between daemons, and HTTP with every length checked.
 
 pub mod clock;
+pub mod compress;
 pub mod frame;
 pub mod h1;
 pub mod http;
