A door that has just opened knows how long its queue takes; metrics on a port of their own

The smoothed time began at zero, so that the door took its queue for short until twenty requests had ended. The first time counts whole now (test first_time_counts_whole).

--- a/crates/cli/src/cmd/explain.rs
+++ b/crates/cli/src/cmd/explain.rs
@@ -59,8 +59,8 @@
         let LogLine { source, timestamp, name, detail } = line;
         writeln!(text, "{timestamp}  {source}  {name}\n    {detail}").expect("strings take text");
     }
-    let codes = lines.iter().filter_map(|line| Some((line, line.value("code")?.parse().ok()?)));
-    if let Some((line, code)) = codes.last() {
+    let mut codes = lines.iter().filter_map(|line| Some((line, line.value("code")?.parse().ok()?)));
+    if let Some((line, code)) = codes.next_back() {
         writeln!(text, "{}", conclusion(line, code)).expect("strings take text");
     }
     text
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -217,7 +217,9 @@
     pub fn finish(&mut self, now_ms: u64, service_ms: u64) -> (Option<u64>, Vec<u64>) {
         assert!(self.running > 0, "only a running request can finish");
         self.running -= 1;
-        self.service_ms += (service_ms as f64 - self.service_ms) * SERVICE_TIME_SHARE;
+        // The first time counts whole: a door that has just opened would take its queue for short.
+        let share = if self.service_ms == 0.0 { 1.0 } else { SERVICE_TIME_SHARE };
+        self.service_ms += (service_ms as f64 - self.service_ms) * share;
         let expired = self.expire(now_ms);
         if self.running >= self.slots {
             return (None, expired);
--- a/crates/core/tests/door_queue.rs
+++ b/crates/core/tests/door_queue.rs
@@ -107,6 +107,21 @@
     assert_eq!(door.finish(260, 100).0, Some(1), "late, and still of use");
 }
 
+/// After a restart the first answers already tell how long a queue takes.
+#[test]
+fn first_time_counts_whole() {
+    let mut door = Admission::with_queue(4);
+    door.announce(TargetState::Ready, SLOTS);
+    let unknown = |ticket| Arrival { service_ms: None, ..arrival(ticket, 1, 400, 600, 0.0) };
+    assert_eq!(door.arrive(0, unknown(1)), Admit::Run);
+    door.finish(200, 200);
+    assert!((door.service_ms() - 200.0).abs() < 1.0, "{}", door.service_ms());
+    for ticket in 2..4 {
+        assert_eq!(door.arrive(200, unknown(ticket)), Admit::Run);
+    }
+    assert_eq!(door.arrive(200, unknown(4)), Admit::Refuse(ResultCode::TargetFull), "100 + 200 ms");
+}
+
 /// A queue full of lookups does not keep an order out.
 #[test]
 fn urgent_displaces() {
--- a/crates/core/tests/mesh_topology.rs
+++ b/crates/core/tests/mesh_topology.rs
@@ -16,7 +16,7 @@
         start_id: 1,
         region: region.into(),
         zone: format!("{region}{}", index / 3 % 2).into(),
-        service: if index / 3 % 3 == 0 { "yard" } else { "desk" }.into(),
+        service: if (index / 3).is_multiple_of(3) { "yard" } else { "desk" }.into(),
         link_addr: "127.0.0.1:1".parse().unwrap(),
     }
 }
@@ -104,7 +104,7 @@
     }
     peers.linked_up(&extra, state(TargetState::Ready), 0);
     assert!(peers.surplus(1_000).is_empty(), "not at once");
-    assert_eq!(peers.surplus(30_000), [extra.clone()]);
+    assert_eq!(peers.surplus(30_000), std::slice::from_ref(&extra));
     peers.call_began(&extra);
     assert!(peers.surplus(30_000).is_empty(), "a call is on it");
 }
--- a/crates/daemon/src/mesh/control.rs
+++ b/crates/daemon/src/mesh/control.rs
@@ -19,6 +19,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+/// Where metrics are served.
+const METRICS_PATH: &str = "/metrics";
 /// The type of the metrics' text.
 const OPEN_METRICS: HeaderValue =
     HeaderValue::from_static("application/openmetrics-text; version=1.0.0; charset=utf-8");
@@ -48,6 +50,23 @@
     }
 }
 
+/// Answers whoever reads metrics, and nothing else.
+#[derive(Clone)]
+pub struct MetricsPage(pub Rc<Mesh>);
+
+impl Service for MetricsPage {
+    type Answering = Ready<Response<Bytes>>;
+
+    fn answer(&self, request: Request<Bytes>) -> Self::Answering {
+        let is_asked = *request.method() == Method::GET && request.uri().path() == METRICS_PATH;
+        ready(if is_asked { metrics(&self.0) } else { empty(StatusCode::NOT_FOUND) })
+    }
+
+    fn limits(&self) -> ServerLimits {
+        LIMITS
+    }
+}
+
 fn handle(mesh: &Rc<Mesh>, request: &Request<Bytes>) -> Response<Bytes> {
     let (method, path) = (request.method(), request.uri().path());
     match control_call(method, path) {
@@ -56,7 +75,7 @@
         Some(ControlCall::Readiness) if mesh.is_ready() => empty(StatusCode::OK),
         Some(ControlCall::Readiness) => empty(StatusCode::SERVICE_UNAVAILABLE),
         None if *method == Method::GET && path == "/dump" => json(&dump(mesh)),
-        None if *method == Method::GET && path == "/metrics" => metrics(mesh),
+        None if *method == Method::GET && path == METRICS_PATH => metrics(mesh),
         None => empty(StatusCode::NOT_FOUND),
     }
 }
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -212,6 +212,7 @@
     mesh.spawn(callers::accept(mesh.clone(), operator_listener, control::Operators(mesh.clone())));
     mesh.spawn(callers::accept(mesh.clone(), ready_listener, control::Operators(mesh.clone())));
     mesh.spawn(callers::accept(mesh.clone(), caller_listener, callers::Callers(mesh.clone())));
+    serve_metrics(&mesh).await;
     mesh.spawn(watch_settings(mesh.clone(), path.clone()));
     mesh.spawn(flush_logs());
     let settings = &mesh.settings;
@@ -254,6 +255,18 @@
     }
 }
 
+/// Serves metrics on an address of their own. A daemon without them is of more use than none.
+async fn serve_metrics(mesh: &Rc<Mesh>) {
+    let Some(addr) = mesh.mesh_settings.borrow().metrics_listen_addr else { return };
+    match listen(addr).await {
+        Ok(listener) => {
+            let page = control::MetricsPage(mesh.clone());
+            mesh.spawn(callers::accept(mesh.clone(), listener, page));
+        }
+        Err(error) => log_event(Event::AcceptFailed, &format!("port=metrics reason={error}")),
+    }
+}
+
 /// Writes waiting log lines at a steady pace, so that none waits for the next one.
 async fn flush_logs() {
     loop {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -84,6 +84,9 @@
 pub struct MeshSettings {
     /// Where the platform asks whether callers may be sent here.
     pub ready_addr: SocketAddr,
+    /// Where metrics are served as text, besides the operators' port.
+    #[serde(default)]
+    pub metrics_listen_addr: Option<SocketAddr>,
     /// The service of the target beside this daemon.
     pub service: Arc<str>,
     /// Where that target takes requests.
--- a/crates/standins/src/replay.rs
+++ b/crates/standins/src/replay.rs
@@ -548,7 +548,7 @@
     }
 
     fn hand_over(&mut self, request: usize, door: usize) {
-        let is_third = door % 3 == 0;
+        let is_third = door.is_multiple_of(3);
         let in_trouble = self.in_trouble(self.now_ms);
         let mut service_ms = self.requests[request].work / self.daemons[door].speed;
         let mut has_failed = false;
