--- a/crates/daemon/src/cmd/run.rs
+++ b/crates/daemon/src/cmd/run.rs
@@ -18,9 +18,11 @@
     pub fn run(self) -> Result<(), DaemonError> {
         let settings = Settings::read(&self.settings)?;
         crate::logging::start(settings.log_level);
-        match settings.mesh.clone() {
+        let ended = match settings.mesh.clone() {
             Some(mesh) => crate::mesh::run(self.settings, settings, mesh),
             None => crate::shared::run(settings),
-        }
+        };
+        crate::logging::finish();
+        ended
     }
 }
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -11,7 +11,7 @@
 use logforth::record::{Level, LevelFilter, Record};
 use pomeloreach_core::event::{Event, EventRecord};
 use pomeloreach_core::log_budget::LogBudget;
-use pomeloreach_wire::clock::Clock;
+use pomeloreach_wire::clock::{Clock, sleep_ms};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::collections::VecDeque;
 use std::sync::{LazyLock, Mutex, MutexGuard, PoisonError};
@@ -22,7 +22,7 @@
 /// (`PIPE_BUF` on Linux).
 const WRITE_BYTES: usize = 4_096;
 /// How often waiting lines should be written in any case, in milliseconds.
-pub const FLUSH_MS: u64 = 200;
+const FLUSH_MS: u64 = 200;
 
 static OUTLET: LazyLock<Mutex<Outlet>> = LazyLock::new(Mutex::default);
 static CLOCK: LazyLock<Clock> = LazyLock::new(Clock::default);
@@ -116,8 +116,16 @@
         .apply();
 }
 
-/// Writes waiting lines, and says which were left out. To be called every [`FLUSH_MS`].
-pub fn flush() {
+/// Writes waiting lines at a steady pace, so that none waits for the next one.
+pub async fn keep_flushing() {
+    loop {
+        sleep_ms(FLUSH_MS).await;
+        flush();
+    }
+}
+
+/// Writes waiting lines, and says which were left out.
+fn flush() {
     let (left_out, lost) = {
         let mut outlet = outlet();
         (outlet.budget.due_report(CLOCK.now_ms()), std::mem::take(&mut outlet.lost))
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -214,7 +214,7 @@
     mesh.spawn(callers::accept(mesh.clone(), caller_listener, callers::Callers(mesh.clone())));
     serve_metrics(&mesh).await;
     mesh.spawn(watch_settings(mesh.clone(), path.clone()));
-    mesh.spawn(flush_logs());
+    mesh.spawn(logging::keep_flushing());
     let settings = &mesh.settings;
     log_with(Event::DaemonStarted, || {
         format!(
@@ -267,14 +267,6 @@
     }
 }
 
-/// Writes waiting log lines at a steady pace, so that none waits for the next one.
-async fn flush_logs() {
-    loop {
-        sleep_ms(logging::FLUSH_MS).await;
-        logging::flush();
-    }
-}
-
 async fn watch_settings(mesh: Rc<Mesh>, path: PathBuf) {
     let mut read = std::fs::read(&path).ok();
     loop {
@@ -312,5 +304,4 @@
     }
     let (in_flight, at_target) = (mesh.in_flight.get(), mesh.door.in_flight());
     log_event(Event::DaemonStopped, &format!("in_flight={in_flight} at_target={at_target}"));
-    logging::finish();
 }
