The replay keeps a request's kind with it, and exit codes have one arm each

The kind was looked up again by its rank at every event, which also took two kinds of one rank for the same; a comment described a field that is gone.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -42,8 +42,8 @@
 impl CliError {
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::Read { .. } | Self::Table { .. } | Self::Invalid(_) | Self::NoRow(_) => 2,
-            Self::NoRequest(_) => 2,
+            Self::Read { .. } | Self::Table { .. } | Self::Invalid(_) => 2,
+            Self::NoRow(_) | Self::NoRequest(_) => 2,
             Self::NotAccepted(answer) if answer.code == ResultCode::EditConflict => 4,
             Self::NotAccepted(answer) if answer.code == ResultCode::StoreAway => 1,
             Self::Refused(_) | Self::NotAccepted(_) => 3,
--- a/crates/standins/src/replay.rs
+++ b/crates/standins/src/replay.rs
@@ -158,6 +158,8 @@
 
 struct Request {
     kind: Kind,
+    /// The place of the kind in the pattern.
+    kind_index: usize,
     origin: usize,
     arrived_ms: u64,
     first_ms: u64,
@@ -187,7 +189,6 @@
     turn: usize,
     rng: ChaCha8Rng,
     figures: Figures,
-    /// Requests that wait at doors, by ticket.
     now_ms: u64,
 }
 
@@ -397,9 +398,8 @@
         }
     }
 
-    fn arrive(&mut self, origin: usize, kind: usize, first_ms: u64, tries_left: u32) {
-        let kind_index = kind;
-        let kind = self.pattern.kinds[kind];
+    fn arrive(&mut self, origin: usize, kind_index: usize, first_ms: u64, tries_left: u32) {
+        let kind = self.pattern.kinds[kind_index];
         let deadline_ms = first_ms + kind.deadline_ms;
         if first_ms == self.now_ms && first_ms >= WARM_UP_MS {
             self.figures.requests += 1;
@@ -410,6 +410,7 @@
         let work = self.spread() * kind.work_ms;
         self.requests.push(Request {
             kind,
+            kind_index,
             origin,
             arrived_ms: self.now_ms,
             first_ms,
@@ -419,17 +420,11 @@
             work,
             is_done: false,
         });
-        self.begin(self.requests.len() - 1, kind_index);
+        self.begin(self.requests.len() - 1);
     }
 
-    fn kind_index(&self, request: usize) -> usize {
-        let rank = self.requests[request].kind.rank;
-        let kinds = &self.pattern.kinds;
-        kinds.iter().position(|kind| kind.rank == rank).unwrap_or_default()
-    }
-
-    fn begin(&mut self, request: usize, kind_index: usize) {
-        let choice = self.choose(request, kind_index);
+    fn begin(&mut self, request: usize) {
+        let choice = self.choose(request);
         let Request { origin, .. } = self.requests[request];
         let (door, wait_max_ms) = match choice {
             Choice::Own { wait_max_ms } => (origin, wait_max_ms),
@@ -470,7 +465,7 @@
         }
     }
 
-    fn choose(&mut self, request: usize, kind_index: usize) -> Choice {
+    fn choose(&mut self, request: usize) -> Choice {
         let random = self.random();
         let (origin, kind) = (self.requests[request].origin, self.requests[request].kind);
         let tried = self.requests[request].attempts.tried().clone();
@@ -486,7 +481,7 @@
                 goal_ms: (self.requests[request].first_ms + kind.goal_ms)
                     .saturating_sub(self.now_ms),
                 left_ms,
-                service_ms: self.usual[kind_index].service_ms,
+                service_ms: self.usual[self.requests[request].kind_index].service_ms,
                 random,
             };
             return placer::choose(&self.daemons[origin].peers, own, &ask, self.now_ms);
@@ -518,7 +513,7 @@
         if self.now_ms >= WARM_UP_MS {
             self.figures.arrivals += 1;
         }
-        let kind_index = self.kind_index(request);
+        let kind_index = self.requests[request].kind_index;
         let Request { kind, first_ms, .. } = &self.requests[request];
         let guarded = self.policy != Policy::NoGuard;
         let deadline_ms = first_ms + kind.deadline_ms;
@@ -568,7 +563,7 @@
     }
 
     fn finish(&mut self, request: usize, door: usize, service_ms: u64, has_failed: bool) {
-        let kind_index = self.kind_index(request);
+        let kind_index = self.requests[request].kind_index;
         let state = &mut self.daemons[door];
         state.failed += (f64::from(u8::from(has_failed)) - state.failed) * 0.08;
         if !has_failed {
@@ -617,8 +612,7 @@
                 if state.attempts.left_ms(self.now_ms) == 0 {
                     return self.refuse(request);
                 }
-                let kind_index = self.kind_index(request);
-                self.begin(request, kind_index);
+                self.begin(request);
             }
         }
     }
@@ -646,7 +640,7 @@
 
     fn refuse(&mut self, request: usize) {
         let random = self.random();
-        let kind_index = self.kind_index(request);
+        let kind_index = self.requests[request].kind_index;
         let now_ms = self.now_ms;
         let state = &mut self.requests[request];
         if std::mem::replace(&mut state.is_done, true) {
