A 404 of the daemon says which newer version was known and how old the confirmation was

Event 800 with code=no-route had the version by which the daemon answered, but neither the newest version that it knew of (refused by its own checks, or held by a linked peer) nor how long ago the store was last known to hold no newer one. Without them a refused version, a version that could not be read, and a route that does not exist look alike. No change of logic.

--- a/crates/core/src/mesh/peers.rs
+++ b/crates/core/src/mesh/peers.rs
@@ -149,6 +149,11 @@
         self.peers.values().filter(|peer| peer.is_linked)
     }
 
+    /// The newest configuration version that a linked peer holds; 0 if none holds any.
+    pub fn newest_version(&self) -> u64 {
+        self.linked().map(Peer::version).max().unwrap_or_default()
+    }
+
     /// Whether this daemon requests a version at once from a peer at this distance: always within
     /// its zone, otherwise if its name sorts before those of all linked peers that are nearer.
     pub fn is_first_to_request(&self, distance: Distance) -> bool {
--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -98,6 +98,12 @@
         self.in_force.borrow().as_ref().map_or(0, |in_force| in_force.published.version)
     }
 
+    /// The last version that failed a check; 0 if a newer one is in force.
+    pub fn refused_version(&self) -> u64 {
+        let refused_version = self.refused_version.get();
+        if refused_version > self.version() { refused_version } else { 0 }
+    }
+
     pub fn state(&self, now_ms: u64) -> ConfigState {
         let age_ms =
             self.confirmed_ms.get().map(|confirmed_ms| now_ms.cast_signed() - confirmed_ms);
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -175,6 +175,12 @@
         self.config.state(self.now_ms())
     }
 
+    /// The newest configuration version that this daemon knows of, in force here or not.
+    pub fn newest_known_version(&self) -> u64 {
+        let newest_refused = self.config.refused_version().max(self.config.version());
+        newest_refused.max(self.peers.borrow().newest_version())
+    }
+
     /// Whether the platform may route callers to this daemon.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping.get() && self.config.routes().is_some()
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -113,7 +113,14 @@
 fn refuse(mesh: &Rc<Mesh>, request_id: &str, code: ResultCode) -> Response<Bytes> {
     mesh.metrics.request_ended(code, 0);
     log_with(Event::RequestFailed, || {
-        format!("request={request_id} code={code} version={}", mesh.config.version())
+        let config = mesh.config_state();
+        format!(
+            "request={request_id} code={code} version={} newest_known_version={} \
+             confirmed_age_ms={:?}",
+            config.version,
+            mesh.newest_known_version(),
+            config.confirmed_age_ms
+        )
     });
     refusal_response(request_id, code, NO_TARGET_RETRY_AFTER_MS)
 }
