Versions that the store accepted are not refused for bounds of our own

The platform's store accepts only valid versions and bounds their size itself; a second, narrower validation behind it cannot make a version better, only keep the fleet on an old one.

Change: check_tables = bounds + check_consistency. A published version is checked for consistency only (hosts, pools that exist, one weight above 0, no two routes for the same requests). Our own deployment's checks are unchanged.

--- a/crates/core/src/check.rs
+++ b/crates/core/src/check.rs
@@ -1,5 +1,9 @@
 //! Validation of the configuration tables. Publishers and every daemon run the same checks on the
 //! same input, so that they all accept or refuse a version alike.
+//!
+//! Bounds on sizes apply to tables that operators edit with our commands. They must not apply to a
+//! version that another store has already accepted: a daemon that refuses it stays with the version
+//! before for as long as the store holds larger ones.
 
 use crate::code::ResultCode;
 use crate::config::{Refusal, Tables};
@@ -23,8 +27,7 @@
 /// Longest slow start of a target, in milliseconds.
 pub const SLOW_START_MS_MAX: u32 = 600_000;
 
-/// Checks that every row is within bounds, that the pools of each route exist, and that no two
-/// routes match the same requests.
+/// Checks that every row is within bounds, and that the tables are consistent.
 pub fn check_tables(tables: &Tables) -> Result<(), Refusal> {
     check_row_count("routes", tables.routes.len())?;
     check_row_count("pools", tables.pools.len())?;
@@ -33,6 +36,21 @@
     }
     for (name, row) in &tables.routes {
         check_route(name, &row.value)?;
+    }
+    check_consistency(tables)
+}
+
+/// Checks what requests rely on, whatever the sizes: each route has a host, its pools exist, one of
+/// them has a weight, and no two routes match the same requests.
+pub fn check_consistency(tables: &Tables) -> Result<(), Refusal> {
+    for (name, row) in &tables.routes {
+        let weights = &row.value.weights;
+        if row.value.host.is_empty() {
+            return Err(out_of_bounds(format!("route '{name}' has no host")));
+        }
+        if !weights.is_empty() && weights.values().all(|weight| *weight == 0) {
+            return Err(out_of_bounds(format!("route '{name}': every weight is 0")));
+        }
         let pool_names = std::iter::once(&row.value.pool).chain(row.value.weights.keys());
         for pool in pool_names {
             if !tables.pools.contains_key(pool) {
@@ -75,9 +93,6 @@
         check_name(&label, "pool", pool)?;
         check_range(&label, "weight", *weight, 0, WEIGHT_MAX)?;
     }
-    if !route.weights.is_empty() && route.weights.values().all(|weight| *weight == 0) {
-        return Err(out_of_bounds(format!("{label}: every weight is 0")));
-    }
     if let Some(attempts_max) = route.attempts_max {
         check_range(&label, "attempts_max", attempts_max.into(), 1, ATTEMPTS_MAX.into())?;
     }
--- a/crates/core/src/mesh/published.rs
+++ b/crates/core/src/mesh/published.rs
@@ -1,6 +1,6 @@
 //! The configuration as it is published in the store.
 
-use crate::check::check_tables;
+use crate::check::check_consistency;
 use crate::config::{Config, Refusal, Row, Tables};
 use crate::digest::digest_hex;
 use crate::matching::RouteTable;
@@ -47,7 +47,8 @@
         digest_hex(self)
     }
 
-    /// Checks the configuration and builds the route table for requests.
+    /// Checks that the configuration is consistent, and builds the route table for requests. Sizes
+    /// are not checked: the store that published the version bounds them.
     ///
     /// # Errors
     ///
@@ -57,7 +58,7 @@
             routes: versioned_rows(&self.routes, self.version),
             pools: versioned_rows(&self.pools, self.version),
         };
-        check_tables(&tables)?;
+        check_consistency(&tables)?;
         let (edits, refusals) = (BTreeMap::new(), BTreeMap::new());
         Ok(RouteTable::new(&Config { version: self.version, tables, edits, refusals }))
     }
--- a/crates/core/tests/mesh_config.rs
+++ b/crates/core/tests/mesh_config.rs
@@ -82,6 +82,22 @@
     assert_eq!(invalid.route_table().unwrap_err().code, code);
 }
 
+/// Each of these rows exceeds a bound of the tables that operators edit with our commands.
+#[yare::parameterized(
+    path_prefix = { "a", |route: &mut Route| route.path_prefix = "/a".repeat(200).into() },
+    name = { "Route_A.with-a-long-name/of-more-than-63-characters/and-a-slash-in-it", |_| () },
+    host = { "a", |route: &mut Route| route.host = "under_score.example".into() },
+    deadline = { "a", |route: &mut Route| route.deadline_ms = 3_600_000 },
+    attempts = { "a", |route: &mut Route| route.attempts_max = Some(200) },
+    weight = { "a", |route: &mut Route| route.weights = [("x".into(), 5_000_000)].into() },
+)]
+fn row_beyond_own_bounds_is_accepted(name: &str, change: fn(&mut Route)) {
+    let mut large = route("/a/", &[("x", 1)]);
+    change(&mut large);
+    let table = published(1, &[(name, large)], &["x"]).route_table();
+    assert!(table.is_ok(), "{:?}", table.unwrap_err());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
