Calls to the store end when nothing arrives, not after a fixed duration

Callers got 404, or the older service, on routes of a version that their daemon could not read: a call had 700 ms in all (a watch 1,500 ms), and 1 MB over a link of 7 Mbit/s takes 1.2 s. The daemon tried again from the start, each time in vain, and its link carried the same bytes each time.

Cause: a time limit on a transfer that does not depend on its size.

Before: read_continues_while_bytes_arrive fails with TimedOut(700). After: it passes, and silent_store_ends_read (half of a response, then nothing) holds before and after.

--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -23,7 +23,7 @@
 /// The same for the first watch of a daemon that has just become a reader: it only checks for a
 /// newer version.
 const FIRST_WATCH_MS: u64 = 1;
-/// How long a call to the store may take, in milliseconds.
+/// How long the store may send nothing during a call, in milliseconds.
 const STORE_TIMEOUT_MS: u64 = 700;
 /// How often a daemon that does not watch the store checks whether it should, in milliseconds.
 const READER_POLL_MS: u64 = 100;
--- a/crates/daemon/src/mesh/discovery.rs
+++ b/crates/daemon/src/mesh/discovery.rs
@@ -13,7 +13,7 @@
 use pomeloreach_wire::clock::sleep_ms;
 use std::rc::Rc;
 
-/// How long a call to the store may take, in milliseconds.
+/// How long the store may send nothing during a call, in milliseconds.
 const STORE_TIMEOUT_MS: u64 = 1_500;
 /// The first pause after a failed call, in milliseconds, without jitter.
 const RETRY_PAUSE_MS: u64 = 250;
--- a/crates/wire/src/h1/client.rs
+++ b/crates/wire/src/h1/client.rs
@@ -33,6 +33,16 @@
     TimedOut(u64),
 }
 
+/// How long a response may take whose size is not known in advance: a limit on its whole duration
+/// would fail a large one on a slow link, however often it is requested.
+#[derive(Clone, Copy, Debug)]
+pub struct ResponseTimeouts {
+    /// The time until the head is complete, in milliseconds.
+    pub head_ms: u64,
+    /// The time for which the server may send nothing after that, in milliseconds.
+    pub silence_ms: u64,
+}
+
 /// One connection to a server.
 #[derive(Debug)]
 pub struct Connection {
@@ -81,6 +91,21 @@
         request: &Request<Bytes>,
         body_bytes_max: usize,
         is_mismatched: impl Fn(&HeaderMap) -> bool,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        self.exchange_within(None, request, body_bytes_max, is_mismatched).await
+    }
+
+    /// Like [`Self::exchange`], with timeouts that do not depend on the size of the response.
+    ///
+    /// # Errors
+    ///
+    /// After any error it is unknown whether the server received the request.
+    pub async fn exchange_within(
+        &mut self,
+        timeouts: Option<ResponseTimeouts>,
+        request: &Request<Bytes>,
+        body_bytes_max: usize,
+        is_mismatched: impl Fn(&HeaderMap) -> bool,
     ) -> Result<Response<Bytes>, ExchangeError> {
         self.must_close = true;
         let bytes = encode(request);
@@ -91,8 +116,9 @@
             is_written = writer.write_all(&bytes).await.is_ok();
             pending().await
         };
+        let reader = &mut self.reader;
         let reading =
-            read_response(&mut self.reader, request.method(), body_bytes_max, is_mismatched);
+            read_response(reader, timeouts, request.method(), body_bytes_max, is_mismatched);
         let (response, is_keep_alive) = or(reading, writing).await?;
         // A server that responded before the request was written completely would read the next
         // request as the rest of this one.
@@ -104,12 +130,21 @@
 /// Reads the response to a request with `method`, and whether the connection stays open after it.
 async fn read_response(
     reader: &mut Reader,
+    timeouts: Option<ResponseTimeouts>,
     method: &Method,
     body_bytes_max: usize,
     is_mismatched: impl Fn(&HeaderMap) -> bool,
 ) -> Result<(Response<Bytes>, bool), ExchangeError> {
     for _ in 0..=SKIPPED_MAX {
-        let head = reader.read_response_head(HEAD_BYTES_MAX).await?;
+        reader.set_silence_max_ms(None);
+        let reading_head = reader.read_response_head(HEAD_BYTES_MAX);
+        let head = match timeouts {
+            Some(ResponseTimeouts { head_ms, .. }) => {
+                within_ms(head_ms, reading_head).await.ok_or(ExchangeError::TimedOut(head_ms))??
+            }
+            None => reading_head.await?,
+        };
+        reader.set_silence_max_ms(timeouts.map(|timeouts| timeouts.silence_ms));
         if head.status().is_informational() {
             continue;
         }
--- a/crates/wire/src/h1/reader.rs
+++ b/crates/wire/src/h1/reader.rs
@@ -1,5 +1,6 @@
 //! Reads complete HTTP/1.1 messages from a connection.
 
+use crate::clock::within_ms;
 use async_net::TcpStream;
 use bytes::{Buf, Bytes, BytesMut};
 use futures_lite::AsyncReadExt;
@@ -34,6 +35,8 @@
     BodyTooLarge(usize),
     #[error("the message head was not complete in time")]
     TimedOut,
+    #[error("nothing was received for {0} ms")]
+    Silent(u64),
 }
 
 /// How the end of a body is determined.
@@ -52,11 +55,19 @@
     buffer: BytesMut,
     /// Receives the bytes of one read, which are then appended to `buffer`.
     scratch: Box<[u8]>,
+    /// How long one read may wait for bytes, in milliseconds.
+    silence_max_ms: Option<u64>,
 }
 
 impl Reader {
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, buffer: BytesMut::new(), scratch: vec![0; READ_BYTES].into() }
+        let scratch = vec![0; READ_BYTES].into();
+        Self { stream, buffer: BytesMut::new(), scratch, silence_max_ms: None }
+    }
+
+    /// Limits how long each later read may wait for bytes.
+    pub fn set_silence_max_ms(&mut self, silence_max_ms: Option<u64>) {
+        self.silence_max_ms = silence_max_ms;
     }
 
     /// A handle of the connection, for writing.
@@ -72,7 +83,11 @@
     /// Reads more bytes into the buffer. Returns false at the end of the stream. Dropping the
     /// future loses no bytes.
     pub async fn fill(&mut self) -> Result<bool, MessageError> {
-        let bytes = self.stream.read(&mut self.scratch).await?;
+        let reading = self.stream.read(&mut self.scratch);
+        let bytes = match self.silence_max_ms {
+            Some(ms) => within_ms(ms, reading).await.ok_or(MessageError::Silent(ms))??,
+            None => reading.await?,
+        };
         self.buffer.extend_from_slice(&self.scratch[..bytes]);
         Ok(bytes > 0)
     }
--- a/crates/wire/src/h1/server.rs
+++ b/crates/wire/src/h1/server.rs
@@ -218,7 +218,10 @@
 /// The reason to stop after a request could not be read.
 fn stop_reason(error: &MessageError) -> Stop {
     match error {
-        MessageError::Closed | MessageError::Truncated | MessageError::Io(_) => Stop::Disconnected,
+        MessageError::Closed
+        | MessageError::Truncated
+        | MessageError::Io(_)
+        | MessageError::Silent(_) => Stop::Disconnected,
         MessageError::Malformed(_) => Stop::Refused(StatusCode::BAD_REQUEST),
         MessageError::HeadTooLarge(_) => Stop::Refused(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
         MessageError::BodyTooLarge(_) => Stop::Refused(StatusCode::PAYLOAD_TOO_LARGE),
