Responses without the target's signature are not passed on, whatever their status

A caller whose proper request was answered on the connection to the target by a 3xx or 4xx that no target had signed got it as the answer, and gave up. An unsigned 503 promised that the request had not run, which nothing shows.

Cause: the signature was checked for successes only. Bytes that are no response of the target may come with any status, and so may an extra response that is late. Change: a response that neither says that the request was not executed nor has the signature is a cut answer (502), and its connection carries no further request.

Before: unsigned_client_error fails, the caller gets 301, 400 and 404. After: 502 in all three; repeated_answers and endless_answers pass.

--- a/crates/daemon/src/mesh/forward.rs
+++ b/crates/daemon/src/mesh/forward.rs
@@ -67,6 +67,11 @@
         mesh.local_target.borrow_mut().mark_unreachable();
         return Err((ResultCode::WrongInstance, true));
     }
+    // Any other response without the target's signature says nothing about the request, whatever its
+    // status. It may be followed by further bytes that belong to no request.
+    if !target_headers.not_executed && !target_headers.is_signed {
+        return Err((ResultCode::AnswerCut, true));
+    }
     if !connection.must_close() {
         let ttl_ms = idle_ttl_ms(response.headers());
         let idle = IdleConnection { connection, used_ms: mesh.now_ms(), ttl_ms };
@@ -77,9 +82,8 @@
         // reached the target counts as a failure of the target.
         return Err((ResultCode::TargetFull, true));
     }
-    // A successful response is only returned if the target signed it and its body was not encoded on
-    // the way.
-    if response.status().is_success() && (!target_headers.is_signed || target_headers.is_encoded) {
+    // The body of a successful response must not have been encoded on the way.
+    if response.status().is_success() && target_headers.is_encoded {
         return Err((ResultCode::AnswerCut, true));
     }
     Ok(response)
