A request is judged by the limits in force when it begins

A caller that kept its connection got 413 or 431 for a request that the configuration in force allows: the limits were read before the wait for the request, so that those of the version before, or the defaults from before the first version, applied to it.

Change: the limits are read when the first bytes of the request are there, and stay with it.

Before: both cases of request_after_limits_were_raised fail (413, 431). After: both get 200, http_server passes.

--- a/crates/wire/src/h1/server.rs
+++ b/crates/wire/src/h1/server.rs
@@ -114,16 +114,15 @@
     /// Reads requests until there is a reason to stop.
     async fn run(&mut self) -> Stop {
         loop {
-            let limits = self.service.limits();
             let stopped = async {
                 self.service.stopped().await;
                 Err(Stop::ServiceStopped)
             };
             let reading = async {
-                let head = read_head(&mut self.reader, &limits, self.in_flight).await;
+                let head = read_head(&mut self.reader, self.service, self.in_flight).await;
                 head.map_err(|error| stop_reason(&error))
             };
-            let head = match or(reading, stopped).await {
+            let (head, limits) = match or(reading, stopped).await {
                 Ok(head) => head,
                 Err(stop) => return stop,
             };
@@ -187,14 +186,16 @@
     }
 }
 
-/// Reads the head of the next request. An idle connection stays open while requests are in flight.
-async fn read_head(
+/// Reads the head of the next request. Returns it with the limits that apply to the request: those
+/// in force when its first bytes were read, since they can change while the connection is idle. An
+/// idle connection stays open while requests are in flight.
+async fn read_head<S: Service>(
     reader: &mut Reader,
-    limits: &ServerLimits,
+    service: &S,
     in_flight: &Cell<usize>,
-) -> Result<Request<()>, MessageError> {
+) -> Result<(Request<()>, ServerLimits), MessageError> {
     while !reader.has_buffered_bytes() {
-        match within_ms(limits.idle_timeout_ms, reader.fill()).await {
+        match within_ms(service.limits().idle_timeout_ms, reader.fill()).await {
             Some(Ok(true)) => {}
             Some(Ok(false)) => return Err(MessageError::Closed),
             Some(Err(error)) => return Err(error),
@@ -202,10 +203,11 @@
             None => return Err(MessageError::Closed),
         }
     }
+    let limits = service.limits();
     let reading = async {
         loop {
             if let Some(head) = reader.parse_request_head(limits.header_bytes_max)? {
-                return Ok(head);
+                return Ok((head, limits));
             }
             if !reader.fill().await? {
                 return Err(MessageError::Closed);
