A daemon without a configuration answers 503 to every request

A caller that sent a body of more than 4 MiB, or a head of more than 64 KiB, to a daemon that had just started got 413 or 431 and gave up, although the first version may allow it.

Cause: limits that no configuration has set decided about the request. Change: while the daemon holds no version, each request gets 503 with Retry-After once its head is there, or in place of the refusal; its body is not read, and the connection ends.

Before: large_body_without_config fails (413). After: 503; mesh_faults and http_server pass.

--- a/crates/daemon/src/mesh/callers.rs
+++ b/crates/daemon/src/mesh/callers.rs
@@ -56,6 +56,10 @@
         }
     }
 
+    fn unavailable(&self, head: Option<&Request<()>>) -> Option<Response<Bytes>> {
+        request::refuse_without_config(&self.0, head.map(Request::headers))
+    }
+
     fn is_draining(&self) -> bool {
         self.0.is_stopping.get()
     }
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -8,9 +8,9 @@
 use async_channel::Sender;
 use async_executor::Task;
 use bytes::Bytes;
-use http::Response;
 use http::header::HOST;
 use http::request::Parts;
+use http::{HeaderMap, Response};
 use pomeloreach_core::call::CallRequest;
 use pomeloreach_core::code::ResultCode;
 use pomeloreach_core::event::Event;
@@ -109,6 +109,19 @@
     active.respond(result)
 }
 
+/// Refuses any request while this daemon has no configuration, even one beyond the default limits:
+/// only a configuration can decide that a request is too large.
+pub fn refuse_without_config(
+    mesh: &Rc<Mesh>,
+    request_headers: Option<&HeaderMap>,
+) -> Option<Response<Bytes>> {
+    if mesh.config.version() > 0 {
+        return None;
+    }
+    let request_id = request_headers.map(|headers| headers::caller_headers(headers).request_id);
+    Some(refuse(mesh, &request_id.unwrap_or_default(), ResultCode::DaemonNotReady))
+}
+
 /// Refuses a request that cannot be routed.
 fn refuse(mesh: &Rc<Mesh>, request_id: &str, code: ResultCode) -> Response<Bytes> {
     mesh.metrics.request_ended(code, 0);
--- a/crates/wire/src/h1/server.rs
+++ b/crates/wire/src/h1/server.rs
@@ -40,6 +40,13 @@
 
     fn limits(&self) -> ServerLimits;
 
+    /// The response to any request while the service can handle none. It is sent before the body is
+    /// read, in place of a refusal of the request itself, and closes the connection. The head is
+    /// absent if it could not be read.
+    fn unavailable(&self, _head: Option<&Request<()>>) -> Option<Response<Bytes>> {
+        None
+    }
+
     /// Whether connections are closed after their next response.
     fn is_draining(&self) -> bool {
         false
@@ -68,6 +75,8 @@
     ServiceStopped,
     /// The client sent a request that is refused with this status.
     Refused(StatusCode),
+    /// The service can handle no request now, and responds with this.
+    Unavailable(Response<Bytes>),
 }
 
 /// Serves a connection until it closes. Pipelined GET and HEAD requests are handled concurrently; a
@@ -93,7 +102,12 @@
             // `write_responses` closes the connection after the last response.
             Stop::ServiceStopped if in_flight.get() > 0 => pending().await,
             Stop::ServiceStopped => {}
-            Stop::Refused(status) => request_reader.refuse(status).await,
+            Stop::Refused(status) => {
+                let unavailable = service.unavailable(None);
+                let response = unavailable.unwrap_or_else(|| empty_response(status));
+                request_reader.refuse(response).await;
+            }
+            Stop::Unavailable(response) => request_reader.refuse(response).await,
         }
     };
     or(reading, write_responses(writer, &receiver, &in_flight, service)).await;
@@ -126,6 +140,9 @@
                 Ok(head) => head,
                 Err(stop) => return stop,
             };
+            if let Some(response) = self.service.unavailable(Some(&head)) {
+                return Stop::Unavailable(response);
+            }
             let framing = match declared_framing(head.headers()) {
                 Ok(framing) => framing.unwrap_or(Framing::Length(0)),
                 Err(error) => return stop_reason(&error),
@@ -174,9 +191,7 @@
     }
 
     /// Queues an error response. It is sent after all earlier responses and closes the connection.
-    async fn refuse(&mut self, status: StatusCode) {
-        let mut response = Response::new(Bytes::new());
-        *response.status_mut() = status;
+    async fn refuse(&mut self, response: Response<Bytes>) {
         let task = self.executor.spawn(async move { response });
         let queued = QueuedResponse { task, is_head_request: false, is_last: true };
         if self.sender.send(queued).await.is_ok() {
@@ -217,6 +232,12 @@
     within_ms(limits.header_timeout_ms, reading).await.unwrap_or(Err(MessageError::TimedOut))
 }
 
+fn empty_response(status: StatusCode) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
+    *response.status_mut() = status;
+    response
+}
+
 /// The reason to stop after a request could not be read.
 fn stop_reason(error: &MessageError) -> Stop {
     match error {
