The return of the store from a copy is logged

Nothing read the header Store-Era, so that neither logs nor metrics could tell whether the store had come back from an earlier copy, who had noticed it and which version it held then. Events 602 and 603 and the gauge store_era do. No logic changes.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -47,6 +47,10 @@
     HeartbeatRefused = 505,
     StoreFailing = 600,
     StoreRecovered = 601,
+    /// The store came back from an earlier copy.
+    StoreRestored = 602,
+    /// The store holds an older version than the one in force.
+    StoreBehind = 603,
     PeerRefused = 700,
     InputRefused = 701,
     AcceptFailed = 702,
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -179,6 +179,7 @@
         Event::VersionRefused
         | Event::SnapshotRefused
         | Event::StoreFailing
+        | Event::StoreRestored
         | Event::PeerRefused
         | Event::SettingsRefused
         | Event::LogsLeftOut
--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -82,6 +82,8 @@
     missing_ms: Cell<Option<u64>>,
     /// The shortest round-trip time to the store since the last failed read.
     store_rtt_ms: Cell<Option<u32>>,
+    /// The newest known era of the store; absent if the store reports none.
+    store_era: Cell<Option<u64>>,
 }
 
 impl LocalConfig {
@@ -108,6 +110,10 @@
         }
     }
 
+    pub fn store_era(&self) -> Option<u64> {
+        self.store_era.get()
+    }
+
     /// Records the duration of a call to the store. The shortest one counts as the round-trip time.
     pub fn record_store_rtt(&self, rtt_ms: u64) {
         let rtt_ms = u32::try_from(rtt_ms).unwrap_or(u32::MAX);
@@ -191,6 +197,21 @@
     report::report_config(mesh, source);
 }
 
+/// Records the era of the store, and logs a return from an earlier copy.
+pub fn record_store_era(mesh: &Mesh, era: Option<u64>, source: ConfigSource) {
+    let config = &mesh.config;
+    let previous = config.store_era.get();
+    if era <= previous {
+        return;
+    }
+    config.store_era.set(era);
+    if let (Some(era), Some(previous)) = (era, previous) {
+        let held = config.version();
+        let detail = format!("era={era} previous={previous} source={source} held={held}");
+        log_event(Event::StoreRestored, &detail);
+    }
+}
+
 /// Decodes a delta from a peer and applies it.
 pub fn apply_delta(
     mesh: &Rc<Mesh>,
@@ -267,6 +288,7 @@
             Some(from) => store.watch_config(from.revision, watch_ms, STORE_TIMEOUT_MS).await,
             None => store.read_config(STORE_TIMEOUT_MS).await,
         };
+        record_store_era(&mesh, store.newest_era(), ConfigSource::Store);
         match update {
             Ok(ConfigUpdate { published, revision: new_revision }) => {
                 failures = 0;
@@ -279,6 +301,12 @@
                     log_event(Event::StoreRecovered, &format!("revision={new_revision}"));
                 }
                 if let Some(published) = published {
+                    let (version, held) = (published.version, mesh.config.version());
+                    if version < held {
+                        let detail =
+                            format!("version={version} held={held} revision={new_revision}");
+                        log_event(Event::StoreBehind, &detail);
+                    }
                     apply(&mesh, published, ConfigSource::Store);
                 }
                 position =
--- a/crates/daemon/src/mesh/discovery.rs
+++ b/crates/daemon/src/mesh/discovery.rs
@@ -4,10 +4,10 @@
 //! one finds the other. Later a daemon lists first: after a restart its record is there already.
 //! Links then exchange the known daemons, so that the store may be unavailable.
 
-use super::{Mesh, links};
+use super::{Mesh, config, links};
 use crate::logging::log_event;
 use pomeloreach_core::event::Event;
-use pomeloreach_core::mesh::dissemination::Distance;
+use pomeloreach_core::mesh::dissemination::{ConfigSource, Distance};
 use pomeloreach_core::mesh::state::DaemonRecord;
 use pomeloreach_platform::store::{DaemonList, StoreClient, StoreError};
 use pomeloreach_wire::clock::sleep_ms;
@@ -53,7 +53,9 @@
         }
         loop {
             sleep_ms(mesh.with_jitter(CHANGES_POLL_MS)).await;
-            match store.daemon_changes(revision, STORE_TIMEOUT_MS).await {
+            let changes = store.daemon_changes(revision, STORE_TIMEOUT_MS).await;
+            config::record_store_era(&mesh, store.newest_era(), ConfigSource::Store);
+            match changes {
                 Ok(changes) => {
                     revision = changes.list.revision;
                     add_listed_daemons(&mesh, changes.list);
--- a/crates/daemon/src/mesh/metrics.rs
+++ b/crates/daemon/src/mesh/metrics.rs
@@ -43,6 +43,7 @@
     slot_wait: Histogram,
     target_time: Histogram,
     version: Gauge,
+    store_era: Gauge,
     links: Gauge,
     in_flight: Gauge,
     store_failures: Counter,
@@ -53,6 +54,7 @@
 /// The values of the gauges, which are read when the metrics are fetched.
 pub struct GaugeValues {
     pub version: u64,
+    pub store_era: Option<u64>,
     pub links: usize,
     pub in_flight: u32,
 }
@@ -72,6 +74,7 @@
             slot_wait: histogram(),
             target_time: histogram(),
             version: Gauge::default(),
+            store_era: Gauge::default(),
             links: Gauge::default(),
             in_flight: Gauge::default(),
             store_failures: Counter::default(),
@@ -106,6 +109,11 @@
             metrics.target_time.clone(),
         );
         registry.register("version", "The configuration in force", metrics.version.clone());
+        registry.register(
+            "store_era",
+            "The newest known era of the store; 0 if it has none",
+            metrics.store_era.clone(),
+        );
         registry.register("links", "Links to peers that calls can use", metrics.links.clone());
         registry.register("in_flight", "Unanswered requests of callers", metrics.in_flight.clone());
         registry.register(
@@ -170,6 +178,7 @@
     /// All metrics in the OpenMetrics text format.
     pub fn text(&self, gauges: &GaugeValues) -> Result<String, std::fmt::Error> {
         self.version.set(gauges.version.cast_signed());
+        self.store_era.set(gauges.store_era.unwrap_or_default().cast_signed());
         self.links.set(i64::try_from(gauges.links).unwrap_or(i64::MAX));
         self.in_flight.set(gauges.in_flight.into());
         let mut text = String::new();
--- a/crates/daemon/src/mesh/operators.rs
+++ b/crates/daemon/src/mesh/operators.rs
@@ -170,6 +170,7 @@
 fn metrics_response(mesh: &Rc<Mesh>) -> Response<Bytes> {
     let gauges = GaugeValues {
         version: mesh.config.version(),
+        store_era: mesh.config.store_era(),
         links: mesh.links.outgoing.borrow().len(),
         in_flight: mesh.in_flight.get(),
     };
