A configuration watch does not continue into another era of the store

Seen: a version that the restored store holds at a revision below that of the watches is not put in force by any daemon, until the next change. No call fails. Cause: a revision was used as a position although a store that comes back from a copy gives revisions out again. Until it has, the watch gets 410 and the daemon reads anew, which hid it. Evidence: restored_store version_below_old_position_is_applied failed before ("d0 has converged: not within 10000 ms"). A position now is an era and a revision, and the client compares the eras once, for every call that continues from a position: another one counts as history that is gone.

--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -11,7 +11,7 @@
 use pomeloreach_core::mesh::published::{CallerLimits, PublishedConfig};
 use pomeloreach_core::mesh::readers;
 use pomeloreach_core::mesh::state::ConfigState;
-use pomeloreach_platform::store::{ConfigUpdate, StoreClient, StoreError};
+use pomeloreach_platform::store::{ConfigUpdate, StoreClient, StoreError, StorePosition};
 use pomeloreach_wire::clock::sleep_ms;
 use pomeloreach_wire::compress;
 use std::cell::{Cell, RefCell};
@@ -255,18 +255,18 @@
     }
 }
 
-/// The position up to which this daemon has read the store.
+/// Up to where this daemon has read the configuration in the store.
 #[derive(Clone, Copy)]
-struct ReadPosition {
-    revision: u64,
-    /// The version of the configuration at that revision.
+struct ReadConfig {
+    position: StorePosition,
+    /// The version in force then.
     version: u64,
 }
 
 /// Watches the configuration in the store while this daemon is one of the readers.
 pub async fn watch_store(mesh: Rc<Mesh>) {
     let store = StoreClient::new(mesh.settings.platform_addr);
-    let mut position: Option<ReadPosition> = None;
+    let mut last_read: Option<ReadConfig> = None;
     let mut is_reading = false;
     let mut failures = 0;
     let mut last_failure: Option<String> = None;
@@ -283,14 +283,14 @@
         // configuration anew: a watch from its old position would return each version since then
         // completely.
         let watch_from =
-            position.filter(|from| is_reading || from.version == mesh.config.version());
+            last_read.filter(|last| is_reading || last.version == mesh.config.version());
         let update = match watch_from {
-            Some(from) => store.watch_config(from.revision, watch_ms, STORE_TIMEOUT_MS).await,
+            Some(last) => store.watch_config(last.position, watch_ms, STORE_TIMEOUT_MS).await,
             None => store.read_config(STORE_TIMEOUT_MS).await,
         };
         record_store_era(&mesh, store.newest_era(), ConfigSource::Store);
         match update {
-            Ok(ConfigUpdate { published, revision: new_revision }) => {
+            Ok(ConfigUpdate { published, position }) => {
                 failures = 0;
                 if !is_reading {
                     // The store holds later watches open, so they do not show the round-trip time.
@@ -298,24 +298,24 @@
                     is_reading = true;
                 }
                 if last_failure.take().is_some() {
-                    log_event(Event::StoreRecovered, &format!("revision={new_revision}"));
+                    let detail = format!("revision={}", position.revision);
+                    log_event(Event::StoreRecovered, &detail);
                 }
                 if let Some(published) = published {
                     let (version, held) = (published.version, mesh.config.version());
                     if version < held {
                         let detail =
-                            format!("version={version} held={held} revision={new_revision}");
+                            format!("version={version} held={held} revision={}", position.revision);
                         log_event(Event::StoreBehind, &detail);
                     }
                     apply(&mesh, published, ConfigSource::Store);
                 }
-                position =
-                    Some(ReadPosition { revision: new_revision, version: mesh.config.version() });
+                last_read = Some(ReadConfig { position, version: mesh.config.version() });
                 if mesh.config.record_confirmation(Some(mesh.now_ms().cast_signed())) {
                     report::report_config(&mesh, ConfigSource::Store);
                 }
             }
-            Err(StoreError::HistoryGone) => position = None,
+            Err(StoreError::HistoryGone) => last_read = None,
             Err(StoreError::NoConfig) => {
                 mesh.config.record_store_rtt(mesh.now_ms() - started_ms);
                 mesh.config.missing_ms.set(Some(mesh.now_ms()));
