Polls for daemons do not continue into another era of the store

Seen: a daemon whose record the restored store holds below the revision of the last poll is never found through the store; polls go on without an error. Cause: daemon_changes continued from a bare revision and took the larger of that and the response's, so that it never went back to the revisions that the restored store gave out anew. Evidence: restored_store daemon_announced_below_old_position_is_found failed before ("the record is found: not within 18000 ms"). The first list of an era is not stale, as the first list of a daemon was already: one that is stale could show the records of the earlier era.

--- a/crates/daemon/src/mesh/discovery.rs
+++ b/crates/daemon/src/mesh/discovery.rs
@@ -35,35 +35,39 @@
     if is_announced {
         retry_until_ok(&mesh, || store.announce(&mesh.local, STORE_TIMEOUT_MS)).await;
     }
-    let mut is_first = true;
+    // The era of the last list that was not stale; `None` if a list must not be stale.
+    let mut listed_era = None;
     loop {
-        // Only the first list must include every record that was announced before.
-        let allow_stale = !std::mem::take(&mut is_first);
+        // Only the first list of an era must include every record that was announced before.
+        let allow_stale = listed_era == Some(store.newest_era());
         let list =
             retry_until_ok(&mesh, || store.list_daemons(allow_stale, STORE_TIMEOUT_MS)).await;
-        let mut revision = list.revision;
+        let mut position = list.position;
+        if !allow_stale {
+            listed_era = Some(position.era);
+        }
         is_announced |= list.records.iter().any(|record| is_own_record(&mesh, record));
         add_listed_daemons(&mesh, list);
         mesh.has_listed_daemons.set(true);
         if !is_announced {
             // Lists once more, for daemons that were announced meanwhile.
             retry_until_ok(&mesh, || store.announce(&mesh.local, STORE_TIMEOUT_MS)).await;
-            (is_announced, is_first) = (true, true);
+            (is_announced, listed_era) = (true, None);
             continue;
         }
         loop {
             sleep_ms(mesh.with_jitter(CHANGES_POLL_MS)).await;
-            let changes = store.daemon_changes(revision, STORE_TIMEOUT_MS).await;
+            let changes = store.daemon_changes(position, STORE_TIMEOUT_MS).await;
             config::record_store_era(&mesh, store.newest_era(), ConfigSource::Store);
             match changes {
                 Ok(changes) => {
-                    revision = changes.list.revision;
+                    position = changes.list.position;
                     add_listed_daemons(&mesh, changes.list);
                     for name in changes.removed {
                         mesh.peers.borrow_mut().remove_unlinked(&name);
                     }
                 }
-                // The store no longer has the changes since that revision: lists all daemons again.
+                // The store no longer has the changes since that position: lists all daemons again.
                 Err(StoreError::HistoryGone) => break,
                 Err(error) => record_store_failure(&mesh, &error),
             }
