A daemon announces itself again when the store has lost its record

Seen: after the store came back from a copy from before a daemon's start, the daemon's record stays missing for good, and daemons that start later learn of it from peers only; when these are lost too, from nobody. Cause: is_announced stayed true once the record had been written. The state that daemons report on links has the newest known era of the store, which a daemon that learns of a newer one passes on at once. Each then reads its own record, spread over a second, and writes it if it is missing, or removes it if its VM is being removed. That is one small read a daemon and return, and a write only where something is missing (kept_records_are_not_written); the decision is own_record.rs in core.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -51,6 +51,8 @@
     StoreRestored = 602,
     /// The store holds an older version than the one in force.
     StoreBehind = 603,
+    /// The store came back without this daemon's record, or with one that was withdrawn.
+    RecordRestored = 604,
     PeerRefused = 700,
     InputRefused = 701,
     AcceptFailed = 702,
--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -12,6 +12,7 @@
 pub mod history;
 pub mod link_pacer;
 pub mod message;
+pub mod own_record;
 pub mod peers;
 pub mod placer;
 pub mod published;
--- a/crates/core/src/mesh/state.rs
+++ b/crates/core/src/mesh/state.rs
@@ -99,6 +99,8 @@
     /// The shortest duration of a call to the store since the last failed one, in milliseconds.
     /// Absent if no call has succeeded since then.
     pub store_rtt_ms: Option<u32>,
+    /// The newest known era of the store; absent if the store reports none.
+    pub store_era: Option<u64>,
 }
 
 impl ConfigState {
--- a/crates/core/tests/mesh_config.rs
+++ b/crates/core/tests/mesh_config.rs
@@ -129,6 +129,7 @@
         version: 5,
         confirmed_age_ms: ages_ms[index],
         store_rtt_ms: rtt(index),
+        store_era: Some(1),
     };
     let record = |index: usize| DaemonRecord {
         name: format!("d{index}").into(),
--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -3,6 +3,7 @@
 use super::{Mesh, report};
 use crate::logging::log_event;
 use bytes::Bytes;
+use event_listener::Event as Notify;
 use pomeloreach_core::event::Event;
 use pomeloreach_core::matching::RouteTable;
 use pomeloreach_core::mesh::delta::Delta;
@@ -84,6 +85,8 @@
     store_rtt_ms: Cell<Option<u32>>,
     /// The newest known era of the store; absent if the store reports none.
     store_era: Cell<Option<u64>>,
+    /// Notified when `store_era` rises.
+    pub store_era_risen: Notify,
 }
 
 impl LocalConfig {
@@ -107,6 +110,7 @@
             version: self.version(),
             confirmed_age_ms: age_ms.and_then(|age_ms| u32::try_from(age_ms).ok()),
             store_rtt_ms: self.store_rtt_ms.get(),
+            store_era: self.store_era.get(),
         }
     }
 
@@ -197,8 +201,8 @@
     report::report_config(mesh, source);
 }
 
-/// Records the era of the store, and logs a return from an earlier copy.
-pub fn record_store_era(mesh: &Mesh, era: Option<u64>, source: ConfigSource) {
+/// Records the era of the store. Logs a return from an earlier copy and reports it to peers.
+pub fn record_store_era(mesh: &Rc<Mesh>, era: Option<u64>, source: ConfigSource) {
     let config = &mesh.config;
     let previous = config.store_era.get();
     if era <= previous {
@@ -209,7 +213,9 @@
         let held = config.version();
         let detail = format!("era={era} previous={previous} source={source} held={held}");
         log_event(Event::StoreRestored, &detail);
+        report::report_config(mesh, source);
     }
+    config.store_era_risen.notify(usize::MAX);
 }
 
 /// Decodes a delta from a peer and applies it.
--- a/crates/daemon/src/mesh/discovery.rs
+++ b/crates/daemon/src/mesh/discovery.rs
@@ -2,12 +2,15 @@
 //!
 //! When the whole fleet starts, each daemon writes before it lists, so that of two daemons at least
 //! one finds the other. Later a daemon lists first: after a restart its record is there already.
-//! Links then exchange the known daemons, so that the store may be unavailable.
+//! Links then exchange the known daemons, so that the store may be unavailable. When the store has
+//! come back from an earlier copy, each daemon checks its own record.
 
 use super::{Mesh, config, links};
 use crate::logging::log_event;
+use futures_lite::future::or;
 use pomeloreach_core::event::Event;
 use pomeloreach_core::mesh::dissemination::{ConfigSource, Distance};
+use pomeloreach_core::mesh::own_record::{OwnRecord, RecordAction};
 use pomeloreach_core::mesh::state::DaemonRecord;
 use pomeloreach_platform::store::{DaemonList, StoreClient, StoreError};
 use pomeloreach_wire::clock::sleep_ms;
@@ -24,6 +27,9 @@
 /// report new daemons much sooner. With jitter the interval stays below the store's history of
 /// twenty seconds.
 const CHANGES_POLL_MS: u64 = 8_000;
+/// The checks of all daemons are spread over this time after they know that the store came back from
+/// a copy, in milliseconds.
+const CHECK_SPREAD_MS: f64 = 1_000.0;
 /// The shortest time between two requests for the daemons that peers know, in milliseconds. Each
 /// response is as long as the fleet is large.
 const DAEMONS_REQUEST_MS_MIN: u64 = 500;
@@ -31,9 +37,9 @@
 /// Announces this daemon in the store, then lists the other daemons and polls for changes.
 pub async fn run(mesh: Rc<Mesh>) {
     let store = StoreClient::new(mesh.settings.platform_addr);
-    let mut is_announced = mesh.mesh_settings.borrow().is_first_start;
-    if is_announced {
-        retry_until_ok(&mesh, || store.announce(&mesh.local, STORE_TIMEOUT_MS)).await;
+    let mut own_record = OwnRecord::default();
+    if mesh.mesh_settings.borrow().is_first_start {
+        announce(&mesh, &store, &mut own_record).await;
     }
     // The era of the last list that was not stale; `None` if a list must not be stale.
     let mut listed_era = None;
@@ -41,22 +47,34 @@
         // Only the first list of an era must include every record that was announced before.
         let allow_stale = listed_era == Some(store.newest_era());
         let list =
-            retry_until_ok(&mesh, || store.list_daemons(allow_stale, STORE_TIMEOUT_MS)).await;
+            retry_until_ok(&mesh, &store, || store.list_daemons(allow_stale, STORE_TIMEOUT_MS))
+                .await;
         let mut position = list.position;
         if !allow_stale {
             listed_era = Some(position.era);
+            if list.records.iter().any(|record| is_own_record(&mesh, record)) {
+                own_record.record_checked(position.era);
+            }
         }
-        is_announced |= list.records.iter().any(|record| is_own_record(&mesh, record));
         add_listed_daemons(&mesh, list);
         mesh.has_listed_daemons.set(true);
-        if !is_announced {
+        if !own_record.is_announced() {
             // Lists once more, for daemons that were announced meanwhile.
-            retry_until_ok(&mesh, || store.announce(&mesh.local, STORE_TIMEOUT_MS)).await;
-            (is_announced, listed_era) = (true, None);
+            announce(&mesh, &store, &mut own_record).await;
+            listed_era = None;
             continue;
         }
         loop {
-            sleep_ms(mesh.with_jitter(CHANGES_POLL_MS)).await;
+            let poll_ms = mesh.now_ms() + mesh.with_jitter(CHANGES_POLL_MS);
+            while mesh.now_ms() < poll_ms {
+                let store_era_risen = mesh.config.store_era_risen.listen();
+                if own_record.must_check(mesh.config.store_era()) {
+                    sleep_ms((CHECK_SPREAD_MS * mesh.random()) as u64).await;
+                    check_own_record(&mesh, &store, &mut own_record).await;
+                } else {
+                    or(sleep_ms(poll_ms.saturating_sub(mesh.now_ms())), store_era_risen).await;
+                }
+            }
             let changes = store.daemon_changes(position, STORE_TIMEOUT_MS).await;
             config::record_store_era(&mesh, store.newest_era(), ConfigSource::Store);
             match changes {
@@ -75,6 +93,34 @@
     }
 }
 
+/// Writes the record of this daemon.
+async fn announce(mesh: &Rc<Mesh>, store: &StoreClient, own_record: &mut OwnRecord) {
+    retry_until_ok(mesh, store, || store.announce(&mesh.local, STORE_TIMEOUT_MS)).await;
+    own_record.record_checked(store.newest_era());
+}
+
+/// Reads the record of this daemon after the store came back from a copy, and writes or removes it
+/// if necessary.
+async fn check_own_record(mesh: &Rc<Mesh>, store: &StoreClient, own_record: &mut OwnRecord) {
+    let name = &mesh.local.name;
+    let found = retry_until_ok(mesh, store, || store.find_daemon(name, STORE_TIMEOUT_MS)).await;
+    let era = store.newest_era();
+    let is_found = found.is_some_and(|record| is_own_record(mesh, &record));
+    let action = RecordAction::after_check(is_found, !mesh.is_being_removed());
+    if action != RecordAction::Keep {
+        let era = era.unwrap_or_default();
+        log_event(Event::RecordRestored, &format!("era={era} action={action}"));
+    }
+    match action {
+        RecordAction::Keep => own_record.record_checked(era),
+        RecordAction::Announce => announce(mesh, store, own_record).await,
+        RecordAction::Withdraw => {
+            withdraw(mesh).await;
+            own_record.record_checked(era);
+        }
+    }
+}
+
 /// Whether a listed record is that of this daemon, from this or an earlier start. Peers learn the
 /// start from the daemon itself.
 fn is_own_record(mesh: &Mesh, record: &DaemonRecord) -> bool {
@@ -94,7 +140,7 @@
 }
 
 /// Repeats a call until it succeeds.
-async fn retry_until_ok<T, F, Fut>(mesh: &Rc<Mesh>, call: F) -> T
+async fn retry_until_ok<T, F, Fut>(mesh: &Rc<Mesh>, store: &StoreClient, call: F) -> T
 where
     F: Fn() -> Fut,
     Fut: Future<Output = Result<T, StoreError>>,
@@ -102,7 +148,9 @@
     let mut pause_ms = RETRY_PAUSE_MS;
     loop {
         let started_ms = mesh.now_ms();
-        match call().await {
+        let result = call().await;
+        config::record_store_era(mesh, store.newest_era(), ConfigSource::Store);
+        match result {
             Ok(value) => {
                 mesh.config.record_store_rtt(mesh.now_ms() - started_ms);
                 return value;
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -175,6 +175,12 @@
         self.config.state(self.now_ms())
     }
 
+    /// Whether this daemon's VM is being removed, as far as is known: the daemon is stopping and its
+    /// target has left.
+    pub fn is_being_removed(&self) -> bool {
+        self.is_stopping.get() && self.target_state() == TargetState::Draining
+    }
+
     /// Whether the platform may route callers to this daemon.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping.get() && self.config.routes().is_some()
@@ -333,7 +339,7 @@
     let started_ms = mesh.now_ms();
     let grace_ms = mesh.mesh_settings.borrow().grace_ms;
     let end_ms = started_ms + grace_ms.saturating_sub(GRACE_MARGIN_MS);
-    if mesh.target_state() == TargetState::Draining {
+    if mesh.is_being_removed() {
         discovery::withdraw(mesh).await;
     }
     loop {
--- a/crates/daemon/src/mesh/outgoing_links.rs
+++ b/crates/daemon/src/mesh/outgoing_links.rs
@@ -202,6 +202,7 @@
 /// version to each zone and region about once, the daemon with the lowest name there requests it
 /// from outside at once, and the rest wait to get it from that daemon.
 fn handle_config_state(mesh: &Rc<Mesh>, peer: &str, distance: Distance, config: ConfigState) {
+    config::record_store_era(mesh, config.store_era, distance.into());
     let links = &mesh.links;
     let version_in_force = mesh.config.version();
     let now_ms = mesh.now_ms();
