--- a/crates/daemon/src/mesh/operators.rs
+++ b/crates/daemon/src/mesh/operators.rs
@@ -171,6 +171,7 @@
     let gauges = GaugeValues {
         version: mesh.config.version(),
         newest_known_version: mesh.newest_known_version(),
+        store_era: mesh.config.store_era(),
         links: mesh.links.outgoing.borrow().len(),
         in_flight: mesh.in_flight.get(),
     };
--- a/crates/wire/src/h1/client.rs
+++ b/crates/wire/src/h1/client.rs
@@ -43,6 +43,13 @@
     pub silence_ms: u64,
 }
 
+impl ResponseTimeouts {
+    /// The same time for the head and for each silence after it.
+    pub fn same(timeout_ms: u64) -> Self {
+        Self { head_ms: timeout_ms, silence_ms: timeout_ms }
+    }
+}
+
 /// One connection to a server.
 #[derive(Debug)]
 pub struct Connection {
