--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -3,6 +3,7 @@
 use super::{Mesh, report};
 use crate::logging::log_event;
 use bytes::Bytes;
+use event_listener::Event as Notify;
 use pomeloreach_core::event::Event;
 use pomeloreach_core::matching::RouteTable;
 use pomeloreach_core::mesh::delta::Delta;
@@ -11,7 +12,7 @@
 use pomeloreach_core::mesh::published::{CallerLimits, PublishedConfig};
 use pomeloreach_core::mesh::readers;
 use pomeloreach_core::mesh::state::ConfigState;
-use pomeloreach_platform::store::{ConfigUpdate, StoreClient, StoreError};
+use pomeloreach_platform::store::{ConfigUpdate, StoreClient, StoreError, StorePosition};
 use pomeloreach_wire::clock::sleep_ms;
 use pomeloreach_wire::compress;
 use std::cell::{Cell, RefCell};
@@ -23,7 +24,7 @@
 /// The same for the first watch of a daemon that has just become a reader: it only checks for a
 /// newer version.
 const FIRST_WATCH_MS: u64 = 1;
-/// How long a call to the store may take, in milliseconds.
+/// How long the store may send nothing during a call, in milliseconds.
 const STORE_TIMEOUT_MS: u64 = 700;
 /// How often a daemon that does not watch the store checks whether it should, in milliseconds.
 const READER_POLL_MS: u64 = 100;
@@ -82,6 +83,10 @@
     missing_ms: Cell<Option<u64>>,
     /// The shortest round-trip time to the store since the last failed read.
     store_rtt_ms: Cell<Option<u32>>,
+    /// The newest known era of the store; absent if the store reports none.
+    store_era: Cell<Option<u64>>,
+    /// Notified when `store_era` rises.
+    pub store_era_risen: Notify,
 }
 
 impl LocalConfig {
@@ -98,6 +103,12 @@
         self.in_force.borrow().as_ref().map_or(0, |in_force| in_force.published.version)
     }
 
+    /// The last version that failed a check; 0 if a newer one is in force.
+    pub fn refused_version(&self) -> u64 {
+        let refused_version = self.refused_version.get();
+        if refused_version > self.version() { refused_version } else { 0 }
+    }
+
     pub fn state(&self, now_ms: u64) -> ConfigState {
         let age_ms =
             self.confirmed_ms.get().map(|confirmed_ms| now_ms.cast_signed() - confirmed_ms);
@@ -105,9 +116,14 @@
             version: self.version(),
             confirmed_age_ms: age_ms.and_then(|age_ms| u32::try_from(age_ms).ok()),
             store_rtt_ms: self.store_rtt_ms.get(),
+            store_era: self.store_era.get(),
         }
     }
 
+    pub fn store_era(&self) -> Option<u64> {
+        self.store_era.get()
+    }
+
     /// Records the duration of a call to the store. The shortest one counts as the round-trip time.
     pub fn record_store_rtt(&self, rtt_ms: u64) {
         let rtt_ms = u32::try_from(rtt_ms).unwrap_or(u32::MAX);
@@ -191,6 +207,23 @@
     report::report_config(mesh, source);
 }
 
+/// Records the era of the store. Logs a return from an earlier copy and reports it to peers.
+pub fn record_store_era(mesh: &Rc<Mesh>, era: Option<u64>, source: ConfigSource) {
+    let config = &mesh.config;
+    let previous = config.store_era.get();
+    if era <= previous {
+        return;
+    }
+    config.store_era.set(era);
+    if let (Some(era), Some(previous)) = (era, previous) {
+        let held = config.version();
+        let detail = format!("era={era} previous={previous} source={source} held={held}");
+        log_event(Event::StoreRestored, &detail);
+        report::report_config(mesh, source);
+    }
+    config.store_era_risen.notify(usize::MAX);
+}
+
 /// Decodes a delta from a peer and applies it.
 pub fn apply_delta(
     mesh: &Rc<Mesh>,
@@ -234,18 +267,18 @@
     }
 }
 
-/// The position up to which this daemon has read the store.
+/// Up to where this daemon has read the configuration in the store.
 #[derive(Clone, Copy)]
-struct ReadPosition {
-    revision: u64,
-    /// The version of the configuration at that revision.
+struct ReadConfig {
+    position: StorePosition,
+    /// The version in force then.
     version: u64,
 }
 
 /// Watches the configuration in the store while this daemon is one of the readers.
 pub async fn watch_store(mesh: Rc<Mesh>) {
     let store = StoreClient::new(mesh.settings.platform_addr);
-    let mut position: Option<ReadPosition> = None;
+    let mut last_read: Option<ReadConfig> = None;
     let mut is_reading = false;
     let mut failures = 0;
     let mut last_failure: Option<String> = None;
@@ -262,13 +295,14 @@
         // configuration anew: a watch from its old position would return each version since then
         // completely.
         let watch_from =
-            position.filter(|from| is_reading || from.version == mesh.config.version());
+            last_read.filter(|last| is_reading || last.version == mesh.config.version());
         let update = match watch_from {
-            Some(from) => store.watch_config(from.revision, watch_ms, STORE_TIMEOUT_MS).await,
+            Some(last) => store.watch_config(last.position, watch_ms, STORE_TIMEOUT_MS).await,
             None => store.read_config(STORE_TIMEOUT_MS).await,
         };
+        record_store_era(&mesh, store.newest_era(), ConfigSource::Store);
         match update {
-            Ok(ConfigUpdate { published, revision: new_revision }) => {
+            Ok(ConfigUpdate { published, position }) => {
                 failures = 0;
                 if !is_reading {
                     // The store holds later watches open, so they do not show the round-trip time.
@@ -276,18 +310,24 @@
                     is_reading = true;
                 }
                 if last_failure.take().is_some() {
-                    log_event(Event::StoreRecovered, &format!("revision={new_revision}"));
+                    let detail = format!("revision={}", position.revision);
+                    log_event(Event::StoreRecovered, &detail);
                 }
                 if let Some(published) = published {
+                    let (version, held) = (published.version, mesh.config.version());
+                    if version < held {
+                        let detail =
+                            format!("version={version} held={held} revision={}", position.revision);
+                        log_event(Event::StoreBehind, &detail);
+                    }
                     apply(&mesh, published, ConfigSource::Store);
                 }
-                position =
-                    Some(ReadPosition { revision: new_revision, version: mesh.config.version() });
+                last_read = Some(ReadConfig { position, version: mesh.config.version() });
                 if mesh.config.record_confirmation(Some(mesh.now_ms().cast_signed())) {
                     report::report_config(&mesh, ConfigSource::Store);
                 }
             }
-            Err(StoreError::HistoryGone) => position = None,
+            Err(StoreError::HistoryGone) => last_read = None,
             Err(StoreError::NoConfig) => {
                 mesh.config.record_store_rtt(mesh.now_ms() - started_ms);
                 mesh.config.missing_ms.set(Some(mesh.now_ms()));
