A head within its size limit is not refused for the number of its headers

A caller whose head was within max_header_bytes but had more than 128 headers got 400 and gave up: the parser's table had a fixed number of places. It now gets as many as the head can have lines; a head beyond its size limit is 431 as before.

--- a/crates/wire/src/h1/reader.rs
+++ b/crates/wire/src/h1/reader.rs
@@ -9,7 +9,7 @@
 use std::io;
 use thiserror::Error;
 
-/// The largest number of headers in one message.
+/// The largest number of headers in a response, and in a request that is parsed without allocating.
 const HEADERS_MAX: usize = 128;
 /// The size of one read from the connection.
 const READ_BYTES: usize = 4 * 1024;
@@ -99,7 +99,21 @@
     ) -> Result<Option<Request<()>>, MessageError> {
         let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
         let mut parsed = httparse::Request::new(&mut headers);
-        let status = parsed.parse(&self.buffer).map_err(malformed)?;
+        let mut status = parsed.parse(&self.buffer);
+        let mut more_headers = Vec::new();
+        if status == Err(httparse::Error::TooManyHeaders) {
+            // Only the size of the head is limited, which bounds the number of its lines.
+            let lines = self.buffer.iter().take(bytes_max).filter(|byte| **byte == b'\n').count();
+            more_headers.resize(lines, httparse::EMPTY_HEADER);
+            parsed = httparse::Request::new(&mut more_headers);
+            status = parsed.parse(&self.buffer);
+        }
+        let status = match status {
+            Err(httparse::Error::TooManyHeaders) => {
+                return Err(MessageError::HeadTooLarge(bytes_max));
+            }
+            status => status.map_err(malformed)?,
+        };
         let httparse::Status::Complete(length) = status else {
             return if self.buffer.len() > bytes_max {
                 Err(MessageError::HeadTooLarge(bytes_max))
@@ -279,10 +293,11 @@
 }
 
 fn header_map(headers: &[httparse::Header]) -> Result<HeaderMap, MessageError> {
-    let mut map = HeaderMap::with_capacity(headers.len());
+    let mut map = HeaderMap::try_with_capacity(headers.len()).map_err(malformed)?;
     for header in headers {
         let name = HeaderName::from_bytes(header.name.as_bytes()).map_err(malformed)?;
-        map.append(name, HeaderValue::from_bytes(header.value).map_err(malformed)?);
+        let value = HeaderValue::from_bytes(header.value).map_err(malformed)?;
+        map.try_append(name, value).map_err(malformed)?;
     }
     Ok(map)
 }
