While a newer version is known, a request without a route gets 503; a refused version confirms nothing

Callers saw 404 from daemons that knew that their version was not the newest, and did not try again.

Cause: a read of the store counted as confirmation whatever came of the version that it returned, and a 404 was decided by the version in force alone. Change: while the store holds a version that this daemon refused, or cannot decode, it confirms nothing, so that the others read the store themselves. A request without a route gets 503 (config-outdated, 2012) while a newer version is known: refused here, or held by a linked peer. A version that cannot be decoded is recorded as refused once, instead of being read again every second.

--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -57,6 +57,8 @@
     WrongInstance = 2009,
     TargetUnreachable = 2010,
     DaemonNotReady = 2011,
+    /// No route of the version in force matches, and a newer version exists, which may have one.
+    ConfigOutdated = 2012,
     /// The connection failed after the request was forwarded, before an answer arrived.
     AnswerLost = 2101,
     /// The deadline passed after the request was forwarded.
@@ -115,7 +117,8 @@
             | Self::RetryBudgetSpent
             | Self::WrongInstance
             | Self::TargetUnreachable
-            | Self::DaemonNotReady => 503,
+            | Self::DaemonNotReady
+            | Self::ConfigOutdated => 503,
             Self::VersionUndecodable
             | Self::VersionDigestMismatch
             | Self::VersionPoolMissing
--- a/crates/core/src/mesh/published.rs
+++ b/crates/core/src/mesh/published.rs
@@ -1,6 +1,7 @@
 //! The configuration as it is published in the store.
 
 use crate::check::check_consistency;
+use crate::code::ResultCode;
 use crate::config::{Config, Refusal, Row, Tables};
 use crate::digest::digest_hex;
 use crate::matching::RouteTable;
@@ -31,6 +32,16 @@
     }
 }
 
+/// The result of a request for which the version in force has no route. Callers do not repeat a
+/// request that has no route, so this must not be the result while a newer version may have one.
+pub fn missing_route_code(version_in_force: u64, newest_known_version: u64) -> ResultCode {
+    if newest_known_version > version_in_force {
+        ResultCode::ConfigOutdated
+    } else {
+        ResultCode::NoRoute
+    }
+}
+
 /// The rows of one published version.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PublishedConfig {
--- a/crates/core/tests/mesh_config.rs
+++ b/crates/core/tests/mesh_config.rs
@@ -4,7 +4,7 @@
 use pomeloreach_core::endpoint::TargetState;
 use pomeloreach_core::mesh::delta::Delta;
 use pomeloreach_core::mesh::peers::Peers;
-use pomeloreach_core::mesh::published::PublishedConfig;
+use pomeloreach_core::mesh::published::{PublishedConfig, missing_route_code};
 use pomeloreach_core::mesh::readers::should_read;
 use pomeloreach_core::mesh::round_robin::WeightedRoundRobin;
 use pomeloreach_core::mesh::state::{
@@ -82,6 +82,15 @@
     assert_eq!(invalid.route_table().unwrap_err().code, code);
 }
 
+#[yare::parameterized(
+    newest_in_force = { 7, 7, ResultCode::NoRoute },
+    peers_behind = { 7, 3, ResultCode::NoRoute },
+    newer_version_known = { 7, 9, ResultCode::ConfigOutdated },
+)]
+fn route_may_be_in_newer_version(version_in_force: u64, newest_known: u64, code: ResultCode) {
+    assert_eq!(missing_route_code(version_in_force, newest_known), code);
+}
+
 /// Each of these rows exceeds a bound of the tables that operators edit with our commands.
 #[yare::parameterized(
     path_prefix = { "a", |route: &mut Route| route.path_prefix = "/a".repeat(200).into() },
--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -12,10 +12,13 @@
 use pomeloreach_core::mesh::published::{CallerLimits, PublishedConfig};
 use pomeloreach_core::mesh::readers;
 use pomeloreach_core::mesh::state::ConfigState;
-use pomeloreach_platform::store::{ConfigUpdate, StoreClient, StoreError, StorePosition};
+use pomeloreach_platform::store::{
+    ConfigUpdate, StoreClient, StoreError, StorePosition, StoredConfig,
+};
 use pomeloreach_wire::clock::sleep_ms;
 use pomeloreach_wire::compress;
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::rc::Rc;
 
 /// How long the store holds a watch open, in milliseconds. Each response confirms the version, so
@@ -185,9 +188,7 @@
     let routes = match published.route_table() {
         Ok(routes) => routes,
         Err(refusal) => {
-            config.refused_version.set(version);
-            let detail = format!("version={version} source={source} reason={refusal}");
-            return log_event(Event::VersionRefused, &detail);
+            return refuse(mesh, version, source, &refusal);
         }
     };
     mesh.round_robin.borrow_mut().retain(|name| published.routes.contains_key(name));
@@ -224,6 +225,16 @@
     config.store_era_risen.notify(usize::MAX);
 }
 
+/// Records that this daemon cannot apply a version. Its routes are unknown until a later version is
+/// in force.
+fn refuse(mesh: &Mesh, version: u64, source: ConfigSource, reason: &impl fmt::Display) {
+    let config = &mesh.config;
+    if version > config.version() && version != config.refused_version.replace(version) {
+        let detail = format!("version={version} source={source} reason={reason}");
+        log_event(Event::VersionRefused, &detail);
+    }
+}
+
 /// Decodes a delta from a peer and applies it.
 pub fn apply_delta(
     mesh: &Rc<Mesh>,
@@ -302,7 +313,7 @@
         };
         record_store_era(&mesh, store.newest_era(), ConfigSource::Store);
         match update {
-            Ok(ConfigUpdate { published, position }) => {
+            Ok(ConfigUpdate { stored, position }) => {
                 failures = 0;
                 if !is_reading {
                     // The store holds later watches open, so they do not show the round-trip time.
@@ -313,17 +324,26 @@
                     let detail = format!("revision={}", position.revision);
                     log_event(Event::StoreRecovered, &detail);
                 }
-                if let Some(published) = published {
-                    let (version, held) = (published.version, mesh.config.version());
+                if let Some(stored) = stored {
+                    let (version, held) = (stored.version(), mesh.config.version());
                     if version < held {
                         let detail =
                             format!("version={version} held={held} revision={}", position.revision);
                         log_event(Event::StoreBehind, &detail);
                     }
-                    apply(&mesh, published, ConfigSource::Store);
+                    match stored {
+                        StoredConfig::Published(published) => {
+                            apply(&mesh, published, ConfigSource::Store);
+                        }
+                        StoredConfig::Undecodable { version, reason } => {
+                            refuse(&mesh, version, ConfigSource::Store, &reason);
+                        }
+                    }
                 }
                 last_read = Some(ReadConfig { position, version: mesh.config.version() });
-                if mesh.config.record_confirmation(Some(mesh.now_ms().cast_signed())) {
+                // While the store holds a version that was refused, the one in force is not the newest.
+                let is_newest = mesh.config.refused_version() == 0;
+                if is_newest && mesh.config.record_confirmation(Some(mesh.now_ms().cast_signed())) {
                     report::report_config(&mesh, ConfigSource::Store);
                 }
             }
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -18,6 +18,7 @@
 use pomeloreach_core::mesh::attempts::{self, AttemptResult, Attempts, NextAction, RetryPolicy};
 use pomeloreach_core::mesh::message::{AdmissionTerms, InboundRequest, InboundResponse};
 use pomeloreach_core::mesh::placer::{self, Placement, PlacementQuery};
+use pomeloreach_core::mesh::published::missing_route_code;
 use pomeloreach_core::mesh::retry_after::{self, RefusedRequest};
 use pomeloreach_core::mesh::state::TargetLoad;
 use pomeloreach_core::mesh::typical_times::TypicalTimes;
@@ -81,7 +82,8 @@
     };
     let path = head.uri.path();
     let Some(route) = routes.find(&host(&head), path, head.method.as_str()) else {
-        return refuse(mesh, &caller.request_id, ResultCode::NoRoute);
+        let code = missing_route_code(mesh.config.version(), mesh.newest_known_version());
+        return refuse(mesh, &caller.request_id, code);
     };
     let weighted = mesh.round_robin.borrow_mut().next(route).clone();
     let route_timeout_ms = u64::from(route.route.deadline_ms);
