A read confirms the state from when the store sent it, not from when it had arrived

Peers took the version of a reader as confirmed now, although it had been the newest 1.2 s ago or, since calls may take as long as bytes arrive, up to 10 s: they did not read the store, and answered by an old version for longer than the bound allows.

Cause: the confirmation had the time of the end of a read. Change: the client says how long the body took after its head, and the confirmation is that much older.

--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -313,7 +313,7 @@
         };
         record_store_era(&mesh, store.newest_era(), ConfigSource::Store);
         match update {
-            Ok(ConfigUpdate { stored, position }) => {
+            Ok(ConfigUpdate { stored, position, age_ms }) => {
                 failures = 0;
                 if !is_reading {
                     // The store holds later watches open, so they do not show the round-trip time.
@@ -343,7 +343,8 @@
                 last_read = Some(ReadConfig { position, version: mesh.config.version() });
                 // While the store holds a version that was refused, the one in force is not the newest.
                 let is_newest = mesh.config.refused_version() == 0;
-                if is_newest && mesh.config.record_confirmation(Some(mesh.now_ms().cast_signed())) {
+                let confirmed_ms = mesh.now_ms().cast_signed() - age_ms.cast_signed();
+                if is_newest && mesh.config.record_confirmation(Some(confirmed_ms)) {
                     report::report_config(&mesh, ConfigSource::Store);
                 }
             }
--- a/crates/wire/src/h1/client.rs
+++ b/crates/wire/src/h1/client.rs
@@ -2,7 +2,7 @@
 
 use super::reader::{Framing, MessageError, Reader, declared_framing, malformed};
 use super::{connection_lists, encode_headers};
-use crate::clock::within_ms;
+use crate::clock::{Clock, within_ms};
 use async_net::TcpStream;
 use bytes::Bytes;
 use futures_lite::AsyncWriteExt;
@@ -56,6 +56,8 @@
     stream: TcpStream,
     reader: Reader,
     must_close: bool,
+    /// How long the body of the last response took to arrive after its head, in milliseconds.
+    body_ms: u64,
 }
 
 impl Connection {
@@ -71,7 +73,7 @@
             .map_err(ExchangeError::Connect)?;
         stream.set_nodelay(true).map_err(ExchangeError::Connect)?;
         let reader = Reader::new(stream.clone());
-        Ok(Self { stream, reader, must_close: false })
+        Ok(Self { stream, reader, must_close: false, body_ms: 0 })
     }
 
     /// Whether another request can be sent: the server has neither closed the connection nor sent
@@ -81,6 +83,12 @@
         !self.must_close && poll_once(self.stream.peek(&mut byte)).await.is_none()
     }
 
+    /// How long the body of the last response took to arrive after its head, in milliseconds. What
+    /// the response says was true at that time before its end.
+    pub fn body_ms(&self) -> u64 {
+        self.body_ms
+    }
+
     /// Whether the connection must not carry another request.
     pub fn must_close(&self) -> bool {
         self.must_close
@@ -126,7 +134,8 @@
         let reader = &mut self.reader;
         let reading =
             read_response(reader, timeouts, request.method(), body_bytes_max, is_mismatched);
-        let (response, is_keep_alive) = or(reading, writing).await?;
+        let (response, is_keep_alive, body_ms) = or(reading, writing).await?;
+        self.body_ms = body_ms;
         // A server that responded before the request was written completely would read the next
         // request as the rest of this one.
         self.must_close = !is_keep_alive || !is_written || self.reader.has_buffered_bytes();
@@ -134,14 +143,15 @@
     }
 }
 
-/// Reads the response to a request with `method`, and whether the connection stays open after it.
+/// Reads the response to a request with `method`, whether the connection stays open after it, and how
+/// long its body took, in milliseconds.
 async fn read_response(
     reader: &mut Reader,
     timeouts: Option<ResponseTimeouts>,
     method: &Method,
     body_bytes_max: usize,
     is_mismatched: impl Fn(&HeaderMap) -> bool,
-) -> Result<(Response<Bytes>, bool), ExchangeError> {
+) -> Result<(Response<Bytes>, bool, u64), ExchangeError> {
     for _ in 0..=SKIPPED_MAX {
         reader.set_silence_max_ms(None);
         let reading_head = reader.read_response_head(HEAD_BYTES_MAX);
@@ -162,6 +172,7 @@
             Some(framing) => framing,
             None => Framing::UntilClose,
         };
+        let body_clock = Clock::default();
         let body = reader.read_body(framing, body_bytes_max).await?;
         if is_mismatched(head.headers()) {
             continue;
@@ -169,7 +180,7 @@
         let is_keep_alive = framing != Framing::UntilClose
             && head.version() == Version::HTTP_11
             && !connection_lists(head.headers(), "close");
-        return Ok((head.map(|()| body), is_keep_alive));
+        return Ok((head.map(|()| body), is_keep_alive, body_clock.now_ms()));
     }
     Err(malformed("too many informational responses and responses to other requests").into())
 }
