A refused version that the store has lost is forgotten

After a return of the store from a copy, a version that had been refused still counted as the newest: requests without a route got 503 instead of 404, nothing was confirmed, and the same number with other rows would have been passed over, until a higher version came.

Change: a risen era clears the refused version; if the store still holds it, the next read refuses it again. Before: lost_refused_version_is_forgotten fails ('not within 5000 ms'). After: it passes with the other tests of restored_store.

--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -216,6 +216,8 @@
         return;
     }
     config.store_era.set(era);
+    // The store may have lost the refused version, or hold other rows under its number.
+    config.refused_version.set(0);
     if let (Some(era), Some(previous)) = (era, previous) {
         let held = config.version();
         let detail = format!("era={era} previous={previous} source={source} held={held}");
