--- a/crates/core/src/check.rs
+++ b/crates/core/src/check.rs
@@ -1,9 +1,9 @@
-//! Validation of the configuration tables. Publishers and every daemon run the same checks on the
+//! Validation of the configuration tables. All daemons of a deployment run the same checks on the
 //! same input, so that they all accept or refuse a version alike.
 //!
-//! Bounds on sizes apply to tables that operators edit with our commands. They must not apply to a
-//! version that another store has already accepted: a daemon that refuses it stays with the version
-//! before for as long as the store holds larger ones.
+//! Bounds on sizes apply to tables that operators edit with our commands, and publishers check them
+//! too. They do not apply to a version that the platform's store has already accepted: daemons that
+//! refuse it would stay with the version before it for as long as the store holds larger ones.
 
 use crate::code::ResultCode;
 use crate::config::{Refusal, Tables};
