A version is confirmed by a watch from where a peer confirmed it, not by reading it again

Cause: a daemon whose last confirmation is more than a second old reads the store itself. It could continue only from a position of its own, and most daemons have the version from a peer, so that each read the whole configuration, over the link that carries its requests, to learn that nothing had changed. Change: the revision at which a version was confirmed travels with the confirmation, in the state that daemons report anyway. A daemon watches from the newest such revision for its version and era; the answer is empty unless something changed. If the store no longer has it, the configuration is read whole.

--- a/crates/core/src/mesh/readers.rs
+++ b/crates/core/src/mesh/readers.rs
@@ -52,6 +52,20 @@
     freshest_ms > age_limit_ms
 }
 
+/// The newest revision of the store, in the era that this daemon knows, at which the version in force
+/// here was the newest. A watch from there confirms the version without reading it again.
+pub fn confirmed_revision(peers: &Peers, local: ConfigState) -> Option<u64> {
+    if local.version == 0 {
+        return None;
+    }
+    let peer_states = peers.linked().filter_map(|peer| Some(peer.state.as_ref()?.config));
+    peer_states
+        .chain([local])
+        .filter(|state| (state.version, state.store_era) == (local.version, local.store_era))
+        .filter_map(|state| state.confirmed_revision)
+        .max()
+}
+
 /// The position of this daemon in the order in which daemons become readers, from 0. Linked peers
 /// come earlier if they are not leaving and have a shorter round-trip time to the store, or
 /// an equal one and a lower name.
--- a/crates/core/src/mesh/state.rs
+++ b/crates/core/src/mesh/state.rs
@@ -101,6 +101,9 @@
     pub store_rtt_ms: Option<u32>,
     /// The newest known era of the store; absent if the store reports none.
     pub store_era: Option<u64>,
+    /// A revision of the store in that era at which the version in force was the newest. Absent if
+    /// none is known.
+    pub confirmed_revision: Option<u64>,
 }
 
 impl ConfigState {
--- a/crates/core/tests/mesh_config.rs
+++ b/crates/core/tests/mesh_config.rs
@@ -5,7 +5,7 @@
 use pomeloreach_core::mesh::delta::Delta;
 use pomeloreach_core::mesh::peers::Peers;
 use pomeloreach_core::mesh::published::{PublishedConfig, missing_route_code};
-use pomeloreach_core::mesh::readers::should_read;
+use pomeloreach_core::mesh::readers::{confirmed_revision, should_read};
 use pomeloreach_core::mesh::round_robin::WeightedRoundRobin;
 use pomeloreach_core::mesh::state::{
     ConfigState, DaemonRecord, DaemonState, TargetLoad, TargetSummary,
@@ -155,6 +155,7 @@
         confirmed_age_ms: ages_ms[index],
         store_rtt_ms: rtt(index),
         store_era: Some(1),
+        confirmed_revision: Some(index as u64),
     };
     let record = |index: usize| DaemonRecord {
         name: format!("d{index}").into(),
@@ -226,3 +227,22 @@
     assert!(starts.windows(2).all(|pair| pair[0] < pair[1]), "{starts:?}");
     assert!(starts.iter().all(|start| *start < 1_600), "too late to be in force: {starts:?}");
 }
+
+/// The revision of a peer counts only if the peer holds the same version in the same era.
+#[yare::parameterized(
+    newest_of_peers = { ConfigState::default(), Some(4) },
+    other_version = { ConfigState { version: 6, ..ConfigState::default() }, None },
+    own_revision = { ConfigState { version: 6, confirmed_revision: Some(9), ..ConfigState::default() }, Some(9) },
+    other_era = { ConfigState { store_era: Some(2), ..ConfigState::default() }, None },
+)]
+fn revision_to_watch_from(changed: ConfigState, revision: Option<u64>) {
+    let (peers, state) = fleet(0, [None; 5]);
+    let local = ConfigState {
+        version: changed.version.max(state.version),
+        store_era: changed.store_era.max(state.store_era),
+        confirmed_revision: changed.confirmed_revision,
+        ..state
+    };
+    assert_eq!(confirmed_revision(&peers, local), revision);
+    assert_eq!(confirmed_revision(&peers, ConfigState::default()), None, "no version in force");
+}
--- a/crates/core/tests/mesh_dissemination.rs
+++ b/crates/core/tests/mesh_dissemination.rs
@@ -15,7 +15,13 @@
 const STATE: DaemonState = DaemonState {
     leaving: false,
     target: None,
-    config: ConfigState { version: 0, confirmed_age_ms: None, store_rtt_ms: None, store_era: None },
+    config: ConfigState {
+        version: 0,
+        confirmed_age_ms: None,
+        store_rtt_ms: None,
+        store_era: None,
+        confirmed_revision: None,
+    },
 };
 
 fn record(index: usize) -> DaemonRecord {
--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -82,6 +82,8 @@
     /// When the store was last known to hold no newer version, by the daemon's clock. Negative if a
     /// peer confirmed the version before this daemon started.
     confirmed_ms: Cell<Option<i64>>,
+    /// The revision of the store at that time, in `store_era`.
+    confirmed_revision: Cell<Option<u64>>,
     /// When the store last had no configuration, while this daemon has none either.
     missing_ms: Cell<Option<u64>>,
     /// The shortest round-trip time to the store since the last failed read.
@@ -120,6 +122,7 @@
             confirmed_age_ms: age_ms.and_then(|age_ms| u32::try_from(age_ms).ok()),
             store_rtt_ms: self.store_rtt_ms.get(),
             store_era: self.store_era.get(),
+            confirmed_revision: self.confirmed_revision.get(),
         }
     }
 
@@ -137,11 +140,13 @@
     /// Records when the store was known to hold no newer version. A time less than
     /// [`CONFIRMED_STEP_MS`] after the recorded one is ignored. Returns whether the time was
     /// recorded and should be reported to peers.
-    pub fn record_confirmation(&self, confirmed_ms: Option<i64>) -> bool {
+    pub fn record_confirmation(&self, confirmed_ms: Option<i64>, revision: Option<u64>) -> bool {
         let Some(confirmed_ms) = confirmed_ms else { return false };
         let previous_ms = self.confirmed_ms.get();
         if previous_ms.is_none_or(|previous_ms| previous_ms + CONFIRMED_STEP_MS <= confirmed_ms) {
             self.confirmed_ms.set(Some(confirmed_ms));
+            // An earlier revision of the same version stays usable.
+            self.confirmed_revision.set(self.confirmed_revision.get().max(revision));
             return true;
         }
         false
@@ -203,6 +208,7 @@
     drop(in_force);
     // A confirmation of the previous version does not apply to this one.
     config.confirmed_ms.set(None);
+    config.confirmed_revision.set(None);
     let detail = format!("version={version} held={version_in_force} source={source}");
     log_event(Event::VersionApplied, &detail);
     report::report_config(mesh, source);
@@ -218,6 +224,7 @@
     config.store_era.set(era);
     // The store may have lost the refused version, or hold other rows under its number.
     config.refused_version.set(0);
+    config.confirmed_revision.set(None);
     if let (Some(era), Some(previous)) = (era, previous) {
         let held = config.version();
         let detail = format!("era={era} previous={previous} source={source} held={held}");
@@ -293,6 +300,8 @@
     let store = StoreClient::new(mesh.settings.platform_addr);
     let mut last_read: Option<ReadConfig> = None;
     let mut is_reading = false;
+    // Peers can know a position that the store no longer has either.
+    let mut is_history_gone = false;
     let mut failures = 0;
     let mut last_failure: Option<String> = None;
     loop {
@@ -304,19 +313,16 @@
         // The first watch as a reader only checks for a newer version.
         let watch_ms = if is_reading { WATCH_MS } else { FIRST_WATCH_MS };
         let started_ms = mesh.now_ms();
-        // A daemon that got newer versions from peers while it did not watch the store reads the
-        // configuration anew: a watch from its old position would return each version since then
-        // completely.
-        let watch_from =
-            last_read.filter(|last| is_reading || last.version == mesh.config.version());
+        let watch_from = if is_history_gone { None } else { watch_position(&mesh, last_read) };
         let update = match watch_from {
-            Some(last) => store.watch_config(last.position, watch_ms, STORE_TIMEOUT_MS).await,
+            Some(from) => store.watch_config(from, watch_ms, STORE_TIMEOUT_MS).await,
             None => store.read_config(STORE_TIMEOUT_MS).await,
         };
         record_store_era(&mesh, store.newest_era(), ConfigSource::Store);
         match update {
             Ok(ConfigUpdate { stored, position, age_ms }) => {
                 failures = 0;
+                is_history_gone = false;
                 if !is_reading {
                     // The store holds later watches open, so they do not show the round-trip time.
                     mesh.config.record_store_rtt(mesh.now_ms() - started_ms);
@@ -346,11 +352,12 @@
                 // While the store holds a version that was refused, the one in force is not the newest.
                 let is_newest = mesh.config.refused_version() == 0;
                 let confirmed_ms = mesh.now_ms().cast_signed() - age_ms.cast_signed();
-                if is_newest && mesh.config.record_confirmation(Some(confirmed_ms)) {
+                let revision = Some(position.revision);
+                if is_newest && mesh.config.record_confirmation(Some(confirmed_ms), revision) {
                     report::report_config(&mesh, ConfigSource::Store);
                 }
             }
-            Err(StoreError::HistoryGone) => last_read = None,
+            Err(StoreError::HistoryGone) => is_history_gone = true,
             Err(StoreError::NoConfig) => {
                 mesh.config.record_store_rtt(mesh.now_ms() - started_ms);
                 mesh.config.missing_ms.set(Some(mesh.now_ms()));
@@ -373,6 +380,17 @@
     }
 }
 
+/// The position from which to watch the configuration; `None` if it must be read. A watch from before
+/// the version in force would return that version once more, so that a position is only used if the
+/// version in force was the newest there.
+fn watch_position(mesh: &Mesh, last_read: Option<ReadConfig>) -> Option<StorePosition> {
+    let local = mesh.config_state();
+    let own = last_read.filter(|last| last.version == local.version).map(|last| last.position);
+    let confirmed = readers::confirmed_revision(&mesh.peers.borrow(), local)
+        .map(|revision| StorePosition { era: local.store_era, revision });
+    own.into_iter().chain(confirmed).max_by_key(|position| (position.era, position.revision))
+}
+
 /// Whether this daemon should watch the store now.
 fn should_read_store(mesh: &Rc<Mesh>) -> bool {
     let now_ms = mesh.now_ms();
--- a/crates/daemon/src/mesh/outgoing_links.rs
+++ b/crates/daemon/src/mesh/outgoing_links.rs
@@ -208,8 +208,10 @@
     let now_ms = mesh.now_ms();
     if config.version <= version_in_force {
         links.behind_since_ms.set(None);
+        let is_same_era = config.store_era == mesh.config.store_era();
+        let revision = config.confirmed_revision.filter(|_| is_same_era);
         if config.version == version_in_force
-            && mesh.config.record_confirmation(config.confirmed_ms(now_ms))
+            && mesh.config.record_confirmation(config.confirmed_ms(now_ms), revision)
         {
             report::report_config(mesh, distance.into());
         }
