--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -352,7 +352,9 @@
                 // While the store holds a version that was refused, the one in force is not the newest.
                 let is_newest = mesh.config.refused_version() == 0;
                 let confirmed_ms = mesh.now_ms().cast_signed() - age_ms.cast_signed();
-                let revision = Some(position.revision);
+                // Peers may have reported a newer era while the call was in progress.
+                let is_same_era = position.era == mesh.config.store_era();
+                let revision = is_same_era.then_some(position.revision);
                 if is_newest && mesh.config.record_confirmation(Some(confirmed_ms), revision) {
                     report::report_config(&mesh, ConfigSource::Store);
                 }
