--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -137,7 +137,8 @@
             .set(Some(self.store_rtt_ms.get().map_or(rtt_ms, |lowest| lowest.min(rtt_ms))));
     }
 
-    /// Records when the store was known to hold no newer version. A time less than
+    /// Records when the store was known to hold no newer version, and at which revision of the era
+    /// that this daemon knows. A time less than
     /// [`CONFIRMED_STEP_MS`] after the recorded one is ignored. Returns whether the time was
     /// recorded and should be reported to peers.
     pub fn record_confirmation(&self, confirmed_ms: Option<i64>, revision: Option<u64>) -> bool {
