--- a/review/standins/daemon.rs
+++ b/review/standins/daemon.rs
@@ -130,6 +130,13 @@
         self.process.as_ref().map_or(0, Child::id)
     }
 
+    /// The memory that the daemon's process holds, in kilobytes.
+    pub fn memory_kb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
+    }
+
     /// Sends a signal to the daemon.
     pub fn signal(&self, name: &str, number: i32) {
         self.record.line(format!("daemon {} gets {name}", self.name));
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 
 mod case_additional_answer;
 mod case_late_beat;
+mod case_memory;
 mod case_stop;
 mod daemon;
 mod http;
@@ -38,7 +39,9 @@
     match case.as_str() {
         "additional-answer" => case_additional_answer::run(folder, has_trouble),
         "late-beat" => case_late_beat::run(folder, has_trouble),
+        "memory" => case_memory::run(folder, has_trouble),
         "stop" => case_stop::run(folder, has_trouble),
+        "stop-pipelined" => case_stop::run_pipelined(folder, has_trouble),
         _ => {
             eprintln!("there is no case {case}");
             std::process::exit(2);
