--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standins ] && [ -x target/release/pomeloreachd ] || exit 2
-exec target/review/standins stop-pipelined review/2
+exec target/review/standins roll review/2
--- a/review/standins/case_stop.rs
+++ b/review/standins/case_stop.rs
@@ -2,10 +2,10 @@
 
 use crate::daemon::{NRPW, SIGTERM};
 use crate::instance::{Answer, Behaviour};
+use crate::path::{ROUND_TRIP, WINDOW_BYTES, connect};
 use crate::site::{self, Route, Site};
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::os::fd::FromRawFd;
+use std::net::TcpStream;
 use std::path::Path;
 use std::sync::Arc;
 use std::thread;
@@ -13,12 +13,6 @@
 
 /// The size of an answer.
 const BODY_BYTES: usize = 300_000;
-/// The receive buffer that a client asks for, which Linux doubles, and how long the path takes there
-/// and back.
-const WINDOW_BYTES: usize = 8 * 1024;
-const ROUND_TRIP: Duration = Duration::from_millis(16);
-/// The segment size of an ordinary network.
-const SEGMENT_BYTES: i32 = 1_400;
 /// When the requests are sent, after the SIGTERM.
 const SENT_AFTER: Duration = Duration::from_millis(2_000);
 const WORK: Duration = Duration::from_millis(600);
@@ -90,87 +84,6 @@
     site.finish(cut > 0, &summary)
 }
 
-/// When the pipelined requests are sent, after the SIGTERM.
-const FIRST_AFTER: Duration = Duration::from_millis(2_100);
-const SECOND_AFTER: Duration = Duration::from_millis(2_400);
-/// The longest work of the sheet's `saw-order`, less a little, and its largest answer.
-const ORDER_WORK: Duration = Duration::from_millis(450);
-const ORDER_BODY_BYTES: usize = 30_000;
-
-/// Clients send a safe request behind an unsafe one that has no answer yet, while the daemon stops.
-pub fn run_pipelined(folder: &Path, has_trouble: bool) -> ! {
-    let places = [("kigali", "kigali-a", "order-desk")];
-    let route = |name, kind, timeout_s, target_latency_s, priority| Route {
-        name,
-        service: "order-desk",
-        kind,
-        timeout_s,
-        target_latency_s,
-        priority,
-    };
-    let routes =
-        [route("saw-order", "unsafe", 0.8, 0.4, 1), route("cut-list", "safe", 1.2, 0.3, 2)];
-    let behaviour: Behaviour = Arc::new(|request, _| {
-        if request.path().ends_with("/large") {
-            Answer::Run { work: ORDER_WORK, body_bytes: ORDER_BODY_BYTES }
-        } else {
-            Answer::Run { work: Duration::from_millis(60), body_bytes: 400 }
-        }
-    });
-    let config = site::config(7, &routes, 1_048_576);
-    let site = Site::start(folder, &NRPW, &places, &config, |_| behaviour.clone());
-    let mut clients: Vec<TcpStream> =
-        (0..CLIENTS).map(|_| connect(site.daemons[0].outbound)).collect();
-    for client in &mut clients {
-        let id = site::new_id();
-        let (status, _) = exchange(client, "/cut-list/small", &id);
-        site.record.line(format!("a kept connection carried {id}: {status}"));
-    }
-    if has_trouble {
-        site.daemons[0].signal("SIGTERM", SIGTERM);
-    }
-    thread::sleep(FIRST_AFTER);
-    let sending: Vec<_> = clients
-        .into_iter()
-        .map(|mut client| {
-            let record = site.record.clone();
-            thread::spawn(move || {
-                let mut second = client.try_clone().expect("the descriptor can be shared");
-                let second_record = record.clone();
-                thread::spawn(move || {
-                    thread::sleep(SECOND_AFTER - FIRST_AFTER);
-                    let id = site::new_id();
-                    second_record.line(format!("client sends {id} GET /cut-list/small behind it"));
-                    let request = format!(
-                        "GET /cut-list/small HTTP/1.1\r\nHost: floor.example\r\n\
-                         Pomeloreach-Request-Id: {id}\r\n\
-                         Pomeloreach-Request-Deadline: 1200\r\n\r\n"
-                    );
-                    second.write_all(request.as_bytes()).ok();
-                });
-                let id = site::new_id();
-                record.line(format!("client sends {id} POST /saw-order/large"));
-                let (status, body_bytes) = exchange(&mut client, "/saw-order/large", &id);
-                record.line(format!(
-                    "client gets {status} with {body_bytes} of {ORDER_BODY_BYTES} bytes for {id}"
-                ));
-                (id, body_bytes)
-            })
-        })
-        .collect();
-    let answers: Vec<(String, usize)> =
-        sending.into_iter().map(|client| client.join().unwrap()).collect();
-    let runs = site.instances[0].runs();
-    let cut = answers
-        .iter()
-        .filter(|(id, bytes)| *bytes < ORDER_BODY_BYTES && runs.iter().any(|run| run.id == *id))
-        .count();
-    let summary = format!(
-        "{cut} of {CLIENTS} answers to unsafe requests that had run were cut off by the stop"
-    );
-    site.finish(cut > 0, &summary)
-}
-
 /// Sends a request and reads the answer at the rate of the path. Returns its status, or 0 if there
 /// is none, and how much of the body arrived.
 fn exchange(client: &mut TcpStream, path: &str, id: &str) -> (u16, usize) {
@@ -213,54 +126,3 @@
         }
     }
 }
-
-#[repr(C)]
-struct SockAddrIn {
-    family: u16,
-    port: [u8; 2],
-    ip: [u8; 4],
-    zero: [u8; 8],
-}
-
-const AF_INET: i32 = 2;
-const SOCK_STREAM: i32 = 1;
-const SOL_SOCKET: i32 = 1;
-const SO_RCVBUF: i32 = 8;
-const IPPROTO_TCP: i32 = 6;
-const TCP_MAXSEG: i32 = 2;
-
-unsafe extern "C" {
-    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
-    fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
-    #[link_name = "connect"]
-    fn connect_socket(fd: i32, addr: *const SockAddrIn, length: u32) -> i32;
-}
-
-/// Opens a connection with the segments and the window of a network path. The standard library
-/// cannot set these before it connects.
-fn connect_to(addr: SocketAddr) -> Option<TcpStream> {
-    let SocketAddr::V4(addr) = addr else { return None };
-    let (ip, port) = (addr.ip().octets(), addr.port().to_be_bytes());
-    let target = SockAddrIn { family: AF_INET as u16, port, ip, zero: [0; 8] };
-    // The kernel doubles the size of the buffer, for its own use.
-    let (segment, window) = (SEGMENT_BYTES, WINDOW_BYTES as i32);
-    // SAFETY: the pointers are valid for the calls, and the stream owns the new descriptor.
-    unsafe {
-        let fd = socket(AF_INET, SOCK_STREAM, 0);
-        if fd < 0 {
-            return None;
-        }
-        let stream = TcpStream::from_raw_fd(fd);
-        setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, 4);
-        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, 4);
-        let is_connected = connect_socket(fd, &target, size_of::<SockAddrIn>() as u32) == 0;
-        is_connected.then_some(stream)
-    }
-}
-
-fn connect(addr: SocketAddr) -> TcpStream {
-    connect_to(addr).unwrap_or_else(|| {
-        eprintln!("no connection to {addr}");
-        crate::daemon::exit(2)
-    })
-}
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,10 +4,12 @@
 mod case_additional_answer;
 mod case_late_beat;
 mod case_memory;
+mod case_roll;
 mod case_stop;
 mod daemon;
 mod http;
 mod instance;
+mod path;
 mod record;
 mod site;
 mod store;
@@ -41,7 +43,7 @@
         "late-beat" => case_late_beat::run(folder, has_trouble),
         "memory" => case_memory::run(folder, has_trouble),
         "stop" => case_stop::run(folder, has_trouble),
-        "stop-pipelined" => case_stop::run_pipelined(folder, has_trouble),
+        "roll" => case_roll::run(folder, has_trouble),
         _ => {
             eprintln!("there is no case {case}");
             std::process::exit(2);
