A connection that the server ends stays open until the client has closed it

Cause: after its last response the server shut the connection down in both directions and closed it. A request that crosses the close, or lies unread, makes the system reset the connection, and with that discard what the client's window has not taken yet. The same happened to refusals (400, 408, 413, 431, 503) of a body that was still arriving, and to connections that ended by the idle limit or because the daemon stopped.

Now every connection that this side ends is shut down for writing only. The server goes on reading and discards what it reads until the client closes, for 2 s at the most. It also goes on reading while the last responses are being computed, so that a client that leaves is still noticed.

Tests: crossing_request_keeps_response, refusal_during_upload and client_that_stays, which failed on the code before (a short body; a broken pipe; closed at once) and pass now. A first form of the first test, with the receive buffer of the system, did not fail before: the client's side held the whole response.

--- a/crates/wire/src/h1/server.rs
+++ b/crates/wire/src/h1/server.rs
@@ -7,18 +7,24 @@
 use async_executor::{LocalExecutor, Task};
 use async_net::TcpStream;
 use bytes::Bytes;
-use futures_lite::AsyncWriteExt;
 use futures_lite::future::{or, pending};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT};
 use http::{Method, Request, Response, StatusCode, Version};
 use std::cell::Cell;
 use std::future::Future;
+use std::net::Shutdown;
 
 /// The capacity of a connection's response queue, which bounds its pipelined requests.
 const PIPELINED_MAX: usize = 32;
 /// How often a request that waits for earlier responses checks whether they are sent, in
 /// milliseconds.
 const RESPONSES_POLL_MS: u64 = 5;
+/// The longest wait for the client to close the connection after the last response, in milliseconds:
+/// some round trips and retransmissions, in which the rest of the response arrives.
+const CLOSE_TIMEOUT_MS: u64 = 2_000;
+/// The size of the reads whose bytes are discarded.
+const DISCARD_BYTES: usize = 4 * 1024;
 
 /// Limits on the size and duration of what a client sends.
 #[derive(Clone, Copy, Debug)]
@@ -69,8 +75,10 @@
 
 /// Why no more requests are read from a connection.
 enum Stop {
-    /// The connection was closed, failed or was idle for too long.
+    /// The client closed the connection, or it failed.
     Disconnected,
+    /// The connection was idle for too long.
+    Idle,
     /// The service accepts no more requests.
     ServiceStopped,
     /// The client sent a request that is refused with this status.
@@ -79,15 +87,40 @@
     Unavailable(Response<Bytes>),
 }
 
+/// The requests in progress on a connection.
+#[derive(Default)]
+struct Activity {
+    /// The number of requests that were read and whose responses are not sent yet.
+    in_flight: Cell<usize>,
+}
+
+impl Activity {
+    fn is_idle(&self) -> bool {
+        self.in_flight.get() == 0
+    }
+
+    fn request_read(&self) {
+        self.in_flight.set(self.in_flight.get() + 1);
+    }
+
+    fn response_sent(&self) {
+        self.in_flight.set(self.in_flight.get().saturating_sub(1));
+    }
+}
+
 /// Serves a connection until it closes. Pipelined GET and HEAD requests are handled concurrently; a
 /// request with another method starts after all earlier responses are sent. Responses are sent in
 /// the order of the requests. Requests in progress are cancelled when the client closes the
 /// connection.
+///
+/// A connection that this side ends stays open for reading until the client has closed it. If it were
+/// closed with unread bytes, or bytes arrived after that, the system would reset it and discard what
+/// the client has not received yet.
 pub async fn serve(executor: &LocalExecutor<'static>, stream: TcpStream, service: &impl Service) {
     // The result does not matter: without the option small responses are only delayed.
     stream.set_nodelay(true).ok();
     let (sender, receiver) = async_channel::bounded(PIPELINED_MAX);
-    let in_flight = Cell::new(0);
+    let activity = Activity::default();
     let writer = stream.clone();
     let reading = async {
         let mut request_reader = RequestReader {
@@ -95,23 +128,41 @@
             executor,
             service,
             sender,
-            in_flight: &in_flight,
+            activity: &activity,
         };
-        match request_reader.run().await {
-            Stop::Disconnected => {}
-            // `write_responses` closes the connection after the last response.
-            Stop::ServiceStopped if in_flight.get() > 0 => pending().await,
-            Stop::ServiceStopped => {}
+        let refusal = match request_reader.run().await {
+            Stop::Disconnected => return true,
+            Stop::Idle | Stop::ServiceStopped => None,
             Stop::Refused(status) => {
-                let unavailable = service.unavailable(None);
-                let response = unavailable.unwrap_or_else(|| empty_response(status));
-                request_reader.refuse(response).await;
+                Some(service.unavailable(None).unwrap_or_else(|| empty_response(status)))
             }
-            Stop::Unavailable(response) => request_reader.refuse(response).await,
+            Stop::Unavailable(response) => Some(response),
+        };
+        if let Some(response) = refusal {
+            request_reader.refuse(response).await;
         }
+        // `write_responses` ends after the responses that are queued.
+        request_reader.sender.close();
+        drop(request_reader);
+        discard_until_closed(stream.clone()).await;
+        true
     };
-    or(reading, write_responses(writer, &receiver, &in_flight, service)).await;
-    stream.shutdown(std::net::Shutdown::Both).ok();
+    let writing = async {
+        write_responses(writer, &receiver, &activity, service).await;
+        false
+    };
+    if or(reading, writing).await {
+        return;
+    }
+    // Fails only if the connection is broken, which `discard_until_closed` then notices.
+    stream.shutdown(Shutdown::Write).ok();
+    within_ms(CLOSE_TIMEOUT_MS, discard_until_closed(stream)).await;
+}
+
+/// Reads and discards what the client sends until it closes the connection.
+async fn discard_until_closed(mut stream: TcpStream) {
+    let mut discarded = vec![0; DISCARD_BYTES];
+    while stream.read(&mut discarded).await.is_ok_and(|bytes| bytes > 0) {}
 }
 
 /// Reads the requests of a connection and starts to handle them.
@@ -120,8 +171,7 @@
     executor: &'a LocalExecutor<'static>,
     service: &'a S,
     sender: Sender<QueuedResponse>,
-    /// The number of requests that were read and whose responses are not sent yet.
-    in_flight: &'a Cell<usize>,
+    activity: &'a Activity,
 }
 
 impl<S: Service> RequestReader<'_, S> {
@@ -133,7 +183,7 @@
                 Err(Stop::ServiceStopped)
             };
             let reading = async {
-                let head = read_head(&mut self.reader, self.service, self.in_flight).await;
+                let head = read_head(&mut self.reader, self.service, self.activity).await;
                 head.map_err(|error| stop_reason(&error))
             };
             let (head, limits) = match or(reading, stopped).await {
@@ -149,7 +199,7 @@
             };
             // `100 Continue` is sent only if no earlier response is outstanding: the client would
             // take it for the start of one.
-            if head.headers().contains_key(EXPECT) && self.in_flight.get() == 0 {
+            if head.headers().contains_key(EXPECT) && self.activity.is_idle() {
                 let mut stream = self.reader.stream();
                 if stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
                     return Stop::Disconnected;
@@ -171,7 +221,7 @@
                 }
             }
             let task = self.executor.spawn(self.service.respond(head.map(|()| body)));
-            self.in_flight.set(self.in_flight.get() + 1);
+            self.activity.request_read();
             if self.sender.send(QueuedResponse { task, is_head_request, is_last }).await.is_err() {
                 return Stop::Disconnected;
             }
@@ -181,7 +231,7 @@
     /// Waits until all earlier responses are sent. Returns early with the reason if the client
     /// disconnects meanwhile.
     async fn wait_for_responses(&mut self) -> Option<Stop> {
-        while self.in_flight.get() > 0 {
+        while !self.activity.is_idle() {
             match within_ms(RESPONSES_POLL_MS, self.reader.fill()).await {
                 Some(Ok(true)) | None => {}
                 Some(_) => return Some(Stop::Disconnected),
@@ -194,10 +244,8 @@
     async fn refuse(&mut self, response: Response<Bytes>) {
         let task = self.executor.spawn(async move { response });
         let queued = QueuedResponse { task, is_head_request: false, is_last: true };
-        if self.sender.send(queued).await.is_ok() {
-            // `write_responses` closes the connection.
-            std::future::pending::<()>().await;
-        }
+        // The queue is closed if an earlier response closes the connection.
+        self.sender.send(queued).await.ok();
     }
 }
 
@@ -207,15 +255,16 @@
 async fn read_head<S: Service>(
     reader: &mut Reader,
     service: &S,
-    in_flight: &Cell<usize>,
+    activity: &Activity,
 ) -> Result<(Request<()>, ServerLimits), MessageError> {
     while !reader.has_buffered_bytes() {
-        match within_ms(service.limits().idle_timeout_ms, reader.fill()).await {
+        let idle_timeout_ms = service.limits().idle_timeout_ms;
+        match within_ms(idle_timeout_ms, reader.fill()).await {
             Some(Ok(true)) => {}
             Some(Ok(false)) => return Err(MessageError::Closed),
             Some(Err(error)) => return Err(error),
-            None if in_flight.get() > 0 => {}
-            None => return Err(MessageError::Closed),
+            None if !activity.is_idle() => {}
+            None => return Err(MessageError::Silent(idle_timeout_ms)),
         }
     }
     let limits = service.limits();
@@ -241,10 +290,8 @@
 /// The reason to stop after a request could not be read.
 fn stop_reason(error: &MessageError) -> Stop {
     match error {
-        MessageError::Closed
-        | MessageError::Truncated
-        | MessageError::Io(_)
-        | MessageError::Silent(_) => Stop::Disconnected,
+        MessageError::Closed | MessageError::Truncated | MessageError::Io(_) => Stop::Disconnected,
+        MessageError::Silent(_) => Stop::Idle,
         MessageError::Malformed(_) => Stop::Refused(StatusCode::BAD_REQUEST),
         MessageError::HeadTooLarge(_) => Stop::Refused(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
         MessageError::BodyTooLarge(_) => Stop::Refused(StatusCode::PAYLOAD_TOO_LARGE),
@@ -264,7 +311,7 @@
 async fn write_responses(
     mut stream: TcpStream,
     receiver: &Receiver<QueuedResponse>,
-    in_flight: &Cell<usize>,
+    activity: &Activity,
     service: &impl Service,
 ) {
     while let Ok(queued) = receiver.recv().await {
@@ -278,7 +325,7 @@
         if stream.write_all(&bytes).await.is_err() || is_last {
             return;
         }
-        in_flight.set(in_flight.get().saturating_sub(1));
+        activity.response_sent();
     }
 }
 
--- /dev/null
+++ b/crates/wire/tests/connection_end.rs
@@ -0,0 +1,146 @@
+//! How the server ends connections, over real connections.
+
+use async_executor::LocalExecutor;
+use async_net::{TcpListener, TcpStream};
+use bytes::Bytes;
+use futures_lite::future::block_on;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use http::{Request, Response};
+use pomeloreach_wire::clock::{sleep_ms, within_ms};
+use pomeloreach_wire::h1::server::{ServerLimits, Service, serve};
+use rustix::net::{self, AddressFamily, SocketType};
+use std::cell::Cell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+
+const LARGE_BYTES: usize = 128 * 1024;
+/// The receive buffer of a client on a slow path, which the system doubles.
+const WINDOW_BYTES: usize = 8 * 1024;
+const IDLE_TIMEOUT_MS: u64 = 400;
+
+/// Responds after as many milliseconds as the last segment of the path says. The path `/large/`
+/// gets `LARGE_BYTES`.
+#[derive(Clone, Default)]
+struct Delayed {
+    draining: Rc<Cell<bool>>,
+}
+
+impl Service for Delayed {
+    type ResponseFuture = Pin<Box<dyn Future<Output = Response<Bytes>>>>;
+
+    fn respond(&self, request: Request<Bytes>) -> Self::ResponseFuture {
+        let path = request.uri().path().to_string();
+        Box::pin(async move {
+            sleep_ms(path.rsplit('/').next().and_then(|ms| ms.parse().ok()).unwrap_or(0)).await;
+            let is_large = path.starts_with("/large/");
+            Response::new(if is_large { vec![b'x'; LARGE_BYTES].into() } else { path.into() })
+        })
+    }
+
+    fn limits(&self) -> ServerLimits {
+        ServerLimits {
+            header_bytes_max: 1_024,
+            body_bytes_max: 64,
+            header_timeout_ms: 200,
+            idle_timeout_ms: IDLE_TIMEOUT_MS,
+        }
+    }
+
+    fn is_draining(&self) -> bool {
+        self.draining.get()
+    }
+}
+
+/// Connects to a server, runs `client` with the connection, and waits for the server to finish.
+fn with_server<T>(service: &Delayed, client: impl AsyncFnOnce(TcpStream) -> T) -> T {
+    let executor = Rc::new(LocalExecutor::new());
+    block_on(executor.clone().run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (service, serving) = (service.clone(), executor.clone());
+        let server = executor.spawn(async move {
+            let (stream, _) = listener.accept().await.unwrap();
+            serve(&serving, stream, &service).await;
+        });
+        let result = client(connect_with_window(addr)).await;
+        within_ms(1_000, server).await.expect("the server must finish when its connection closes");
+        result
+    }))
+}
+
+/// Connects with a small receive buffer, so that the system holds most of a response on the side of
+/// the server.
+fn connect_with_window(addr: SocketAddr) -> TcpStream {
+    let socket = net::socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+    net::sockopt::set_socket_recv_buffer_size(&socket, WINDOW_BYTES).unwrap();
+    net::connect(&socket, &addr).unwrap();
+    std::net::TcpStream::from(socket).try_into().unwrap()
+}
+
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: h\r\n\r\n")
+}
+
+/// Reads until the server has sent its last byte.
+async fn read_all(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).await.expect("the connection must not be reset");
+    String::from_utf8(bytes).unwrap()
+}
+
+/// A request that crosses the close must not discard the rest of the last response.
+#[test]
+fn crossing_request_keeps_response() {
+    let service = Delayed::default();
+    service.draining.set(true);
+    let response = with_server(&service, async |mut stream| {
+        stream.write_all(get("/large/0").as_bytes()).await.unwrap();
+        let (mut received, mut part) = (Vec::new(), vec![0; WINDOW_BYTES]);
+        loop {
+            let bytes = stream.read(&mut part).await.expect("the connection must not be reset");
+            if bytes == 0 {
+                return String::from_utf8(received).unwrap();
+            }
+            received.extend_from_slice(&part[..bytes]);
+            // The server may have closed the connection, which the next read shows.
+            stream.write_all(get("/b/0").as_bytes()).await.ok();
+            sleep_ms(2).await;
+        }
+    });
+    let (head, body) = response.split_once("\r\n\r\n").unwrap();
+    assert!(head.contains("connection: close"), "{head}");
+    assert_eq!(body.len(), LARGE_BYTES);
+}
+
+/// A client that is still sending a refused body must receive the refusal.
+#[test]
+fn refusal_during_upload() {
+    let response = with_server(&Delayed::default(), async |mut stream| {
+        let head = "POST /a/0 HTTP/1.1\r\nhost: h\r\ncontent-length: 2097152\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        for _ in 0..32 {
+            stream.write_all(&[b'y'; 64 * 1024]).await.expect("the server must go on reading");
+            sleep_ms(2).await;
+        }
+        read_all(&mut stream).await
+    });
+    assert!(response.starts_with("HTTP/1.1 413 "), "{response}");
+}
+
+/// A client that does not close its side does not hold the connection for ever.
+#[test]
+fn client_that_stays() {
+    let started = std::time::Instant::now();
+    let executor = Rc::new(LocalExecutor::new());
+    block_on(executor.clone().run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let (stream, _) = listener.accept().await.unwrap();
+        serve(&executor, stream, &Delayed::default()).await;
+        drop(client);
+    }));
+    let took_ms = started.elapsed().as_millis() as u64;
+    assert!((2_000..4_000).contains(&took_ms), "{took_ms} ms");
+}
