The idle time of a connection begins when its last response was sent

Callers saw connections closed soon after a long request: the limit was counted from when the request was read, in steps of the whole limit. With a limit of 400 ms, a connection whose request took 300 ms was closed 100 ms after the response. A caller that uses it again within the limit then finds it closed, and its request, if it crosses the close, is not answered.

Found while looking at every place where the server ends a connection. The reader now waits for what is left of the limit since the last response, and counts no time while a request is in progress.

Test: idle_after_long_request, which failed before (no response to the second request, sent after four fifths of the limit).

--- a/crates/wire/src/h1/server.rs
+++ b/crates/wire/src/h1/server.rs
@@ -2,7 +2,7 @@
 
 use super::reader::{Framing, MessageError, Reader, declared_framing};
 use super::{connection_lists, encode_headers};
-use crate::clock::within_ms;
+use crate::clock::{Clock, within_ms};
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_net::TcpStream;
@@ -87,11 +87,14 @@
     Unavailable(Response<Bytes>),
 }
 
-/// The requests in progress on a connection.
+/// The requests in progress on a connection, and since when there are none.
 #[derive(Default)]
 struct Activity {
+    clock: Clock,
     /// The number of requests that were read and whose responses are not sent yet.
     in_flight: Cell<usize>,
+    /// When the last response was sent.
+    last_sent_ms: Cell<u64>,
 }
 
 impl Activity {
@@ -105,6 +108,12 @@
 
     fn response_sent(&self) {
         self.in_flight.set(self.in_flight.get().saturating_sub(1));
+        self.last_sent_ms.set(self.clock.now_ms());
+    }
+
+    /// How long no request has been in progress.
+    fn idle_ms(&self) -> u64 {
+        if self.is_idle() { self.clock.now_ms() - self.last_sent_ms.get() } else { 0 }
     }
 }
 
@@ -251,7 +260,7 @@
 
 /// Reads the head of the next request. Returns it with the limits that apply to the request: those
 /// in force when its first bytes were read, since they can change while the connection is idle. An
-/// idle connection stays open while requests are in flight.
+/// idle connection stays open while requests are in flight, and for the whole idle time after that.
 async fn read_head<S: Service>(
     reader: &mut Reader,
     service: &S,
@@ -259,12 +268,14 @@
 ) -> Result<(Request<()>, ServerLimits), MessageError> {
     while !reader.has_buffered_bytes() {
         let idle_timeout_ms = service.limits().idle_timeout_ms;
-        match within_ms(idle_timeout_ms, reader.fill()).await {
-            Some(Ok(true)) => {}
+        let left_ms = idle_timeout_ms.saturating_sub(activity.idle_ms());
+        if left_ms == 0 {
+            return Err(MessageError::Silent(idle_timeout_ms));
+        }
+        match within_ms(left_ms, reader.fill()).await {
+            Some(Ok(true)) | None => {}
             Some(Ok(false)) => return Err(MessageError::Closed),
             Some(Err(error)) => return Err(error),
-            None if !activity.is_idle() => {}
-            None => return Err(MessageError::Silent(idle_timeout_ms)),
         }
     }
     let limits = service.limits();
--- a/crates/wire/tests/connection_end.rs
+++ b/crates/wire/tests/connection_end.rs
@@ -129,6 +129,18 @@
     assert!(response.starts_with("HTTP/1.1 413 "), "{response}");
 }
 
+/// The idle time begins when the response was sent, not when the request was read.
+#[test]
+fn idle_after_long_request() {
+    let responses = with_server(&Delayed::default(), async |mut stream| {
+        stream.write_all(get("/a/300").as_bytes()).await.unwrap();
+        sleep_ms(300 + IDLE_TIMEOUT_MS * 4 / 5).await;
+        stream.write_all(get("/b/0").as_bytes()).await.unwrap();
+        read_all(&mut stream).await
+    });
+    assert!(responses.contains("/a/300") && responses.ends_with("/b/0"), "{responses}");
+}
+
 /// A client that does not close its side does not hold the connection for ever.
 #[test]
 fn client_that_stays() {
