A body that does not arrive in time is refused with 408

A caller that pipelined a request whose body stalled lost the responses to its earlier requests: when the time for the body was over, the server dropped the connection with everything in progress on it.

The request has not run, so the server now refuses it with 408 like a head that does not arrive in time: after the earlier responses, and with a response of its own.

Test: stalled_body_after_request, which failed before (neither response arrived).

--- a/crates/wire/src/h1/server.rs
+++ b/crates/wire/src/h1/server.rs
@@ -216,7 +216,7 @@
             }
             let reading = self.reader.read_body(framing, limits.body_bytes_max);
             let body = match within_ms(limits.idle_timeout_ms, reading).await {
-                None => return Stop::Disconnected,
+                None => return Stop::Refused(StatusCode::REQUEST_TIMEOUT),
                 Some(Err(error)) => return stop_reason(&error),
                 Some(Ok(body)) => body,
             };
--- a/crates/wire/tests/connection_end.rs
+++ b/crates/wire/tests/connection_end.rs
@@ -141,6 +141,18 @@
     assert!(responses.contains("/a/300") && responses.ends_with("/b/0"), "{responses}");
 }
 
+/// A body that never arrives must not cut off the responses to earlier requests.
+#[test]
+fn stalled_body_after_request() {
+    let responses = with_server(&Delayed::default(), async |mut stream| {
+        let stalled = "PUT /b/0 HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\n\r\nxy";
+        stream.write_all(format!("{}{stalled}", get("/a/600")).as_bytes()).await.unwrap();
+        read_all(&mut stream).await
+    });
+    let refused_at = responses.find("HTTP/1.1 408 ").expect("the stalled request is refused");
+    assert!(responses.find("/a/600").is_some_and(|at| at < refused_at), "{responses}");
+}
+
 /// A client that does not close its side does not hold the connection for ever.
 #[test]
 fn client_that_stays() {
