A stopping daemon waits until callers have received their responses

Cause: the stop waited until no request was in progress, and a request counted as ended when its response had been computed. The daemon now counts the open connections of callers. The log line of the stop names the connections that were left and how long the stop took.

Weighed: waiting for callers without a limit.

--- a/crates/daemon/src/mesh/callers.rs
+++ b/crates/daemon/src/mesh/callers.rs
@@ -27,6 +27,35 @@
     listener::serve_each(&mesh, listener, service.stopped(), serve).await;
 }
 
+/// Serves callers until the daemon reads no further requests. Counts their open connections.
+pub async fn serve_callers(mesh: Rc<Mesh>, listener: TcpListener) {
+    let serve = |stream| {
+        let connection = ConnectionGuard::new(&mesh);
+        let mesh = mesh.clone();
+        async move {
+            server::serve(&mesh.executor, stream, &CallerService(mesh.clone())).await;
+            drop(connection);
+        }
+    };
+    listener::serve_each(&mesh, listener, mesh.stopped(), serve).await;
+}
+
+/// Counts a connection of a caller as open until it is dropped.
+struct ConnectionGuard(Rc<Mesh>);
+
+impl ConnectionGuard {
+    fn new(mesh: &Rc<Mesh>) -> Self {
+        mesh.caller_connections.set(mesh.caller_connections.get() + 1);
+        Self(mesh.clone())
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.caller_connections.set(self.0.caller_connections.get() - 1);
+    }
+}
+
 /// Routes the requests of callers to targets.
 #[derive(Clone)]
 pub struct CallerService(pub Rc<Mesh>);
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -103,6 +103,8 @@
     stop: (Sender<()>, Receiver<()>),
     /// Requests of callers that have no response yet.
     pub in_flight: Cell<u32>,
+    /// Connections of callers that are open, also those whose callers are still receiving a response.
+    pub caller_connections: Cell<u32>,
 }
 
 impl Mesh {
@@ -241,6 +243,7 @@
         is_leaving: Cell::new(false),
         stop: async_channel::bounded(1),
         in_flight: Cell::new(0),
+        caller_connections: Cell::new(0),
         local,
         settings,
         mesh_settings: RefCell::new(Rc::new(mesh_settings)),
@@ -263,11 +266,7 @@
         ready_listener,
         operators::OperatorService(mesh.clone()),
     ));
-    mesh.spawn(callers::serve_http(
-        mesh.clone(),
-        caller_listener,
-        callers::CallerService(mesh.clone()),
-    ));
+    mesh.spawn(callers::serve_callers(mesh.clone(), caller_listener));
     serve_metrics(&mesh).await;
     mesh.spawn(watch_settings(mesh.clone(), path.clone()));
     mesh.spawn(logging::flush_periodically());
@@ -337,7 +336,8 @@
 }
 
 /// Keeps serving callers for [`UNREADY_SERVING_MS`], during which peers can still use the local
-/// target. Then reads no further requests and waits for those in flight. A draining target is taken
+/// target. Then reads no further requests, and waits until callers have received the
+/// responses to those in flight and have closed their connections. A draining target is taken
 /// to mean that the VM is being removed, so the record of this daemon is removed too.
 async fn drain(mesh: &Rc<Mesh>) {
     mesh.is_stopping.set(true);
@@ -354,7 +354,7 @@
             mesh.stop.0.close();
             mesh.links.report_now();
         }
-        let is_idle = mesh.in_flight.get() == 0 && mesh.inbound.in_flight() == 0;
+        let is_idle = mesh.caller_connections.get() == 0 && mesh.inbound.in_flight() == 0;
         if now_ms >= end_ms
             || (is_idle && now_ms >= started_ms + UNREADY_SERVING_MS + LAST_CALLS_MS)
         {
@@ -363,5 +363,13 @@
         sleep_ms(DRAIN_POLL_MS).await;
     }
     let (in_flight, at_target) = (mesh.in_flight.get(), mesh.inbound.in_flight());
-    log_event(Event::DaemonStopped, &format!("in_flight={in_flight} at_target={at_target}"));
+    let connections = mesh.caller_connections.get();
+    let took_ms = mesh.now_ms() - started_ms;
+    log_event(
+        Event::DaemonStopped,
+        &format!(
+            "in_flight={in_flight} at_target={at_target} connections={connections} \
+             took_ms={took_ms}"
+        ),
+    );
 }
