A stopping daemon exits after its peers have received the results of their calls

Callers of other daemons got 502 for orders that had run: the stopping daemon of the target waited until no request was at its target, and exited with results in the queue of a link or in the system's buffer. A call or ping that arrived after that reset the link.

The daemon now waits until the results on its incoming links are written. It then shuts these links down for writing only, and waits until the peers have closed them, for 1 s at the most. A link that is closed runs no further calls, since their results could not be sent. Links that a daemon closes itself because it needs them no longer carry no calls, and are closed in both directions as before.

--- a/crates/daemon/src/mesh/incoming_links.rs
+++ b/crates/daemon/src/mesh/incoming_links.rs
@@ -18,6 +18,7 @@
 use pomeloreach_wire::clock::boot_ms;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::Shutdown;
 use std::rc::Rc;
 
 /// How long a link may stay without a message before it is closed, in milliseconds.
@@ -65,7 +66,8 @@
     reader.distance = distance;
     mesh.peers.borrow_mut().update_record(sender, true, mesh.now_ms());
     mesh.peers.borrow_mut().reset_redial(&name, mesh.now_ms());
-    mesh.spawn(write_frames(stream, queued));
+    // The reading half stays open until the peer has received the last result and closes the link.
+    mesh.spawn(write_frames(stream, queued, Shutdown::Write));
     let id = mesh.links.last_incoming_id.get() + 1;
     mesh.links.last_incoming_id.set(id);
     let link = IncomingLink {
@@ -83,7 +85,12 @@
     let running = Rc::new(RefCell::new(BTreeMap::new()));
     let result = async {
         loop {
-            match reader.read(mesh, INCOMING_SILENCE_MS_MAX).await? {
+            let message = reader.read(mesh, INCOMING_SILENCE_MS_MAX).await?;
+            if frames.is_closed() {
+                // The result of a call could not be sent any more.
+                continue;
+            }
+            match message {
                 LinkMessage::Ping => {}
                 LinkMessage::DaemonsRequest => {
                     let records = mesh.peers.borrow().records();
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -10,15 +10,16 @@
 use async_net::TcpStream;
 use bytes::Bytes;
 use event_listener::Event as Notify;
+use futures_lite::AsyncWriteExt;
 use futures_lite::io::BufReader;
-use futures_lite::{AsyncWriteExt, StreamExt};
 use pomeloreach_core::mesh::dissemination::{Distance, Subscriber};
 use pomeloreach_core::mesh::message::LinkMessage;
 use pomeloreach_core::mesh::state::DaemonRecord;
-use pomeloreach_wire::clock::within_ms;
+use pomeloreach_wire::clock::{sleep_ms, within_ms};
 use pomeloreach_wire::frame::{self, FrameError};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::Shutdown;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -31,24 +32,51 @@
 /// How long connecting, and then waiting for the first message of the peer, may each take, in
 /// milliseconds.
 pub const OPEN_TIMEOUT_MS: u64 = 1_000;
+/// How often a stopping daemon checks whether its links are closed, in milliseconds.
+const CLOSE_POLL_MS: u64 = 10;
 
 /// The sending half of a link's queue of frames. The queue allocates memory only as it grows.
 #[derive(Clone)]
-pub struct FrameSender(Sender<Bytes>);
+pub struct FrameSender {
+    frames: Sender<Bytes>,
+    unwritten_count: Rc<Cell<usize>>,
+}
+
+/// The receiving half of a link's queue of frames.
+pub struct QueuedFrames {
+    frames: Receiver<Bytes>,
+    /// The number of frames that are queued or being written.
+    unwritten_count: Rc<Cell<usize>>,
+}
 
 impl FrameSender {
-    pub fn new() -> (Self, Receiver<Bytes>) {
+    pub fn new() -> (Self, QueuedFrames) {
         let (sender, receiver) = async_channel::unbounded();
-        (Self(sender), receiver)
+        let unwritten_count = Rc::new(Cell::new(0));
+        let queued = QueuedFrames { frames: receiver, unwritten_count: unwritten_count.clone() };
+        (Self { frames: sender, unwritten_count }, queued)
     }
 
     /// Queues a frame. Returns false if the queue is closed or full.
     pub fn send(&self, frame: Bytes) -> bool {
-        self.0.len() < QUEUED_FRAMES_MAX && self.0.try_send(frame).is_ok()
+        let is_queued =
+            self.frames.len() < QUEUED_FRAMES_MAX && self.frames.try_send(frame).is_ok();
+        self.unwritten_count.set(self.unwritten_count.get() + usize::from(is_queued));
+        is_queued
     }
 
+    /// Refuses further frames. Those that are queued are still written.
     pub fn close(&self) {
-        self.0.close();
+        self.frames.close();
+    }
+
+    pub fn is_closed(&self) -> bool {
+        self.frames.is_closed()
+    }
+
+    /// Whether every frame was written, or the link is broken.
+    fn is_written(&self) -> bool {
+        self.unwritten_count.get() == 0
     }
 }
 
@@ -107,6 +135,21 @@
         self.report_requested.notify(usize::MAX);
     }
 
+    /// Whether all results of peers' calls were written.
+    pub fn are_results_written(&self) -> bool {
+        self.incoming.borrow().values().all(|link| link.frames.is_written())
+    }
+
+    /// Closes the links that peers have opened so far, and waits until the peers have closed them too:
+    /// the system would discard results that a peer has not received yet if the process exited before.
+    pub async fn close_incoming(&self) {
+        let closed: Vec<u64> = self.incoming.borrow().keys().copied().collect();
+        self.incoming.borrow().values().for_each(|link| link.frames.close());
+        while closed.iter().any(|id| self.incoming.borrow().contains_key(id)) {
+            sleep_ms(CLOSE_POLL_MS).await;
+        }
+    }
+
     /// Sends a message that may be lost: a cancellation, which is not needed without a link, or a
     /// request for rows, which is repeated.
     pub fn send(&self, peer: &str, message: &LinkMessage) {
@@ -161,26 +204,34 @@
     Duplicate,
 }
 
-/// Writes queued frames, joining all that are available into one write.
-pub async fn write_frames(mut stream: TcpStream, queued: Receiver<Bytes>) {
-    let mut queued = std::pin::pin!(queued);
-    while let Some(first) = queued.next().await {
+/// Writes queued frames, joining all that are available into one write. Then shuts the stream down
+/// in the directions of `shutdown`.
+pub async fn write_frames(mut stream: TcpStream, queued: QueuedFrames, shutdown: Shutdown) {
+    let QueuedFrames { frames, unwritten_count } = queued;
+    let mut shutdown = shutdown;
+    while let Ok(first) = frames.recv().await {
         let mut bytes = first;
-        if let Ok(second) = queued.try_recv() {
+        let mut count = 1;
+        if let Ok(second) = frames.try_recv() {
             let mut joined = bytes.to_vec();
             joined.extend_from_slice(&second);
-            while let Ok(more) = queued.try_recv() {
+            count += 1;
+            while let Ok(more) = frames.try_recv() {
                 joined.extend_from_slice(&more);
+                count += 1;
             }
             bytes = joined.into();
         }
         if stream.write_all(&bytes).await.is_err() {
+            shutdown = Shutdown::Both;
             break;
         }
+        unwritten_count.set(unwritten_count.get() - count);
     }
-    queued.close();
-    // Also ends the reading half of the link. Fails only on a stream that is already broken.
-    stream.shutdown(std::net::Shutdown::Both).ok();
+    frames.close();
+    unwritten_count.set(0);
+    // Fails only on a stream that is already broken.
+    stream.shutdown(shutdown).ok();
 }
 
 /// Adds the daemons that a peer or the store has listed.
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -42,7 +42,7 @@
 };
 use pomeloreach_core::mesh::typical_times::TypicalTimes;
 use pomeloreach_core::retry_budget::RetryBudget;
-use pomeloreach_wire::clock::{Clock, sleep_ms};
+use pomeloreach_wire::clock::{Clock, sleep_ms, within_ms};
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
 use std::cell::{Cell, RefCell};
@@ -63,6 +63,9 @@
 const GRACE_MARGIN_MS: u64 = 400;
 /// How often a stopping daemon checks whether its requests have ended, in milliseconds.
 const DRAIN_POLL_MS: u64 = 20;
+/// How long a stopping daemon waits for its peers to close their links, in milliseconds: the last
+/// results cross narrow links, and lost packets are sent again.
+const LINKS_CLOSE_MS_MAX: u64 = 1_000;
 /// How often the settings file is checked for changes without a signal, in milliseconds.
 const SETTINGS_POLL_MS: u64 = 5_000;
 /// The number of bits that a random start id is shifted to the right. The result is below 2^53, so
@@ -336,7 +339,7 @@
 }
 
 /// Keeps serving callers for [`UNREADY_SERVING_MS`], during which peers can still use the local
-/// target. Then reads no further requests, and waits until callers have received the
+/// target. Then reads no further requests, and waits until callers and peers have received the
 /// responses to those in flight and have closed their connections. A draining target is taken
 /// to mean that the VM is being removed, so the record of this daemon is removed too.
 async fn drain(mesh: &Rc<Mesh>) {
@@ -354,7 +357,9 @@
             mesh.stop.0.close();
             mesh.links.report_now();
         }
-        let is_idle = mesh.caller_connections.get() == 0 && mesh.inbound.in_flight() == 0;
+        let is_idle = mesh.caller_connections.get() == 0
+            && mesh.inbound.in_flight() == 0
+            && mesh.links.are_results_written();
         if now_ms >= end_ms
             || (is_idle && now_ms >= started_ms + UNREADY_SERVING_MS + LAST_CALLS_MS)
         {
@@ -362,6 +367,8 @@
         }
         sleep_ms(DRAIN_POLL_MS).await;
     }
+    let left_ms = end_ms.saturating_sub(mesh.now_ms()).min(LINKS_CLOSE_MS_MAX);
+    within_ms(left_ms, mesh.links.close_incoming()).await;
     let (in_flight, at_target) = (mesh.in_flight.get(), mesh.inbound.in_flight());
     let connections = mesh.caller_connections.get();
     let took_ms = mesh.now_ms() - started_ms;
--- a/crates/daemon/src/mesh/outgoing_links.rs
+++ b/crates/daemon/src/mesh/outgoing_links.rs
@@ -19,6 +19,7 @@
 use pomeloreach_wire::clock::{boot_ms, sleep_ms, within_ms};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::Shutdown;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -90,7 +91,8 @@
     stream.set_nodelay(true).ok();
     let (frames, queued) = FrameSender::new();
     frames.send(encode(&LinkMessage::Hello { sender: mesh.local.clone(), sent_ms: boot_ms() }));
-    mesh.spawn(write_frames(stream.clone(), queued));
+    // Closing the queue also ends the reading half: only links without calls are closed.
+    mesh.spawn(write_frames(stream.clone(), queued, Shutdown::Both));
     let mut reader = LinkReader::new(stream);
     let welcome = reader.read(mesh, OPEN_TIMEOUT_MS).await?;
     let LinkMessage::Welcome { sender, known_count, state, departed } = welcome else {
