A leave is in the store before it is acknowledged, and outlives all daemons

Cause: departed targets were held in the memory of daemons only. A daemon that starts takes the first heartbeat, whatever its age, and responses then keep the target from lapsing. A target that is draining is concerned as well as one that has left.

Now the daemon writes the leave to the store and then acknowledges it. It reads the record of its VM at a start before it uses its target.

Failed trial: telling that in the answer to a new link. The peers that dial a restarted daemon have its new state before the daemon dials them.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -45,6 +45,7 @@
     TargetLeft = 503,
     TargetUnreachable = 504,
     HeartbeatRefused = 505,
+    LeaveNotStored = 506,
     StoreFailing = 600,
     StoreRecovered = 601,
     /// The store came back from an earlier copy.
--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -15,6 +15,11 @@
 /// delayed.
 pub const DEPARTED_KEPT_MS: u64 = 60_000;
 
+/// How late a heartbeat of a target on the same VM arrives at the most, in milliseconds. One that
+/// arrives later than this after the start of the daemon was sent after that start, so that the target
+/// had not left before.
+const HEARTBEAT_DELAY_MS_MAX: u64 = 10_000;
+
 /// Identifies one start of a target.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TargetStart {
@@ -49,6 +54,14 @@
     pub fn starts(&self) -> impl Iterator<Item = &TargetStart> {
         self.expires_ms.keys()
     }
+
+    /// The starts that may not be forgotten yet.
+    pub fn current_starts(&self, now_ms: u64) -> impl Iterator<Item = &TargetStart> {
+        self.expires_ms
+            .iter()
+            .filter(move |(_, expires_ms)| now_ms < **expires_ms)
+            .map(|(start, _)| start)
+    }
 }
 
 /// A heartbeat of a target.
@@ -87,6 +100,10 @@
 pub struct LocalTarget {
     current: Option<CurrentTarget>,
     departed: DepartedTargets,
+    /// Whether `departed` has the targets that left before this process started.
+    knows_departed: bool,
+    /// The target that an earlier process of this daemon had in use shortly before it ended.
+    recent: Option<TargetStart>,
     /// The interval at which the target sends heartbeats.
     heartbeat_ms: u64,
 }
@@ -95,6 +112,8 @@
 #[derive(Clone, Debug)]
 struct CurrentTarget {
     last_heartbeat: Heartbeat,
+    /// When the last heartbeat was received.
+    last_heartbeat_ms: u64,
     /// When the last heartbeat of the target, or its last response to a request, was received.
     last_received_ms: u64,
     /// Set when the target refused a connection or another target answered; the next heartbeat
@@ -133,6 +152,7 @@
             || last.state != heartbeat.state
             || last.slots != heartbeat.slots;
         current.is_unreachable = false;
+        current.last_heartbeat_ms = now_ms;
         current.last_received_ms = now_ms;
         // A draining target cannot become ready again without a new start.
         let state = if last.state == TargetState::Draining { last.state } else { heartbeat.state };
@@ -143,6 +163,7 @@
     fn replace(&mut self, heartbeat: Heartbeat, now_ms: u64) {
         let current = CurrentTarget {
             last_heartbeat: heartbeat,
+            last_heartbeat_ms: now_ms,
             last_received_ms: now_ms,
             is_unreachable: false,
         };
@@ -157,6 +178,19 @@
         !was_departed && self.has_departed(now_ms)
     }
 
+    /// Records that every target is known that left before this process started. Until then a
+    /// heartbeat can be from before a leave that an earlier process acknowledged.
+    pub fn set_knows_departed(&mut self) {
+        self.knows_departed = true;
+    }
+
+    /// Records that an earlier process of this daemon had reported a target as ready shortly before it
+    /// ended, according to a peer. A leave of this target, or of one that started later, would have
+    /// been reported to that peer too.
+    pub fn set_recent(&mut self, start: TargetStart) {
+        self.recent = Some(start);
+    }
+
     /// Whether the current target has left.
     fn has_departed(&self, now_ms: u64) -> bool {
         self.last_heartbeat().is_some_and(|last| self.departed.has_departed(&last.start(), now_ms))
@@ -181,8 +215,9 @@
         self.current.as_ref().map(|current| &current.last_heartbeat)
     }
 
-    /// The state of the target: `Starting` before the first heartbeat, `Draining` after it left,
-    /// `Lapsed` while it is unreachable or silent, otherwise the state of its last heartbeat.
+    /// The state of the target: `Starting` before the first heartbeat, and while the target may have
+    /// left before this process started; `Draining` after it left; `Lapsed` while it is unreachable or
+    /// silent; otherwise the state of its last heartbeat.
     pub fn state(&self, now_ms: u64) -> TargetState {
         let Some(current) = &self.current else { return TargetState::Starting };
         let silent_ms = now_ms.saturating_sub(current.last_received_ms);
@@ -192,6 +227,15 @@
         if current.is_unreachable || silent_ms > MISSED_HEARTBEATS_MAX * self.heartbeat_ms {
             return TargetState::Lapsed;
         }
+        let may_have_left = !self.knows_departed
+            && current.last_heartbeat_ms < HEARTBEAT_DELAY_MS_MAX
+            && self
+                .recent
+                .as_ref()
+                .is_none_or(|recent| current.last_heartbeat.born_unix_ms < recent.born_unix_ms);
+        if may_have_left && current.last_heartbeat.state == TargetState::Ready {
+            return TargetState::Starting;
+        }
         current.last_heartbeat.state
     }
 }
--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -21,6 +21,9 @@
         sender: DaemonRecord,
         /// As in [`Call::sent_ms`].
         sent_ms: u64,
+        /// The target of the accepting daemon, if an earlier process of that daemon reported it as
+        /// ready a short time ago.
+        recent_target: Option<TargetStart>,
     },
     /// The first message of the daemon that accepted the link.
     Welcome {
--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -7,6 +7,7 @@
 pub mod attempts;
 pub mod body_transfers;
 pub mod delta;
+pub mod departures;
 pub mod dissemination;
 pub mod heartbeat;
 pub mod history;
--- a/crates/core/src/mesh/peers.rs
+++ b/crates/core/src/mesh/peers.rs
@@ -17,6 +17,9 @@
 /// The minimum time that a link stays open, in milliseconds, so that links are not opened and
 /// closed each time that the target of a peer becomes ready or not ready.
 const LINK_OPEN_MS_MIN: u64 = 20_000;
+/// The age of a peer's last report up to which its target still counts as used, in milliseconds. A
+/// peer reports a leave at once, and otherwise every two seconds.
+const RECENT_TARGET_MS_MAX: u64 = 5_000;
 /// How long a lost call counts against a peer, in milliseconds.
 const LOST_CALL_KEPT_MS: u64 = 2_000;
 
@@ -126,6 +129,17 @@
         self.departed.starts().cloned().collect()
     }
 
+    /// The target of a peer, if the peer reported it as ready a short time ago. Tells the peer, if it has
+    /// restarted, that its target had not left.
+    pub fn recent_target(&self, name: &str, now_ms: u64) -> Option<TargetStart> {
+        let peer = self.peers.get(name)?;
+        let target = peer.state.as_ref()?.target.as_ref()?;
+        let is_recent = now_ms <= peer.last_received_ms + RECENT_TARGET_MS_MAX;
+        let is_ready = target.state == TargetState::Ready
+            && !self.departed.has_departed(&target.start(), now_ms);
+        (is_recent && is_ready).then(|| target.start())
+    }
+
     /// The record of this daemon.
     pub fn local(&self) -> &DaemonRecord {
         &self.local
--- a/crates/core/src/mesh/readers.rs
+++ b/crates/core/src/mesh/readers.rs
@@ -52,6 +52,12 @@
     freshest_ms > age_limit_ms
 }
 
+/// Whether this daemon is the first of the readers, as far as its links show. Others can be the first
+/// by theirs.
+pub fn is_first_reader(peers: &Peers, local: ConfigState) -> bool {
+    reader_position(peers, local) == 0
+}
+
 /// The newest revision of the store, in the era that this daemon knows, at which the version in force
 /// here was the newest. A watch from there confirms the version without reading it again.
 pub fn confirmed_revision(peers: &Peers, local: ConfigState) -> Option<u64> {
--- a/crates/core/tests/mesh_heartbeats.rs
+++ b/crates/core/tests/mesh_heartbeats.rs
@@ -19,6 +19,7 @@
 
 fn target() -> LocalTarget {
     let mut target = LocalTarget::new(HEARTBEAT_MS);
+    target.set_knows_departed();
     let first = heartbeat("i-1", 100, 5, TargetState::Ready);
     assert_eq!(target.apply(first, 0), HeartbeatEffect::Changed);
     target
@@ -86,6 +87,7 @@
 #[test]
 fn leave_before_first_heartbeat() {
     let mut target = LocalTarget::new(HEARTBEAT_MS);
+    target.set_knows_departed();
     target.apply_leave(start("i-1", 150), 0);
     let late = heartbeat("i-1", 100, 14, TargetState::Ready);
     assert_eq!(target.apply(late, 2_600), HeartbeatEffect::Stale);
@@ -123,3 +125,46 @@
     );
     assert_eq!(target.state(10), TargetState::Ready);
 }
+
+/// Until a daemon that has restarted knows which targets left before, a heartbeat can be from before a
+/// leave.
+#[test]
+fn heartbeat_before_departures_are_known() {
+    let mut target = LocalTarget::new(HEARTBEAT_MS);
+    target.apply(heartbeat("i-1", 100, 5, TargetState::Ready), 200);
+    assert_eq!(target.state(200), TargetState::Starting);
+    let mut left = target.clone();
+    left.apply_leave(start("i-1", 100), 300);
+    left.set_knows_departed();
+    assert_eq!(left.state(300), TargetState::Draining);
+    target.set_knows_departed();
+    assert_eq!(target.state(300), TargetState::Ready);
+}
+
+/// A target whose daemon restarts while the store is unavailable is used once its heartbeats must be
+/// from after the restart.
+#[test]
+fn heartbeat_while_store_unavailable() {
+    let mut target = LocalTarget::new(HEARTBEAT_MS);
+    target.apply(heartbeat("i-1", 100, 5, TargetState::Ready), 9_900);
+    target.note_response(10_100);
+    assert_eq!(target.state(10_100), TargetState::Starting);
+    target.apply(heartbeat("i-1", 100, 6, TargetState::Ready), 11_400);
+    assert_eq!(target.state(11_400), TargetState::Ready);
+}
+
+/// A daemon that restarts while the store is unavailable uses its target at once if a peer knows that it
+/// was in use.
+#[test]
+fn heartbeat_of_recent_target() {
+    let mut target = LocalTarget::new(HEARTBEAT_MS);
+    target.set_recent(start("i-1", 100));
+    target.apply(heartbeat("i-1", 100, 5, TargetState::Ready), 200);
+    assert_eq!(target.state(200), TargetState::Ready);
+    target.apply(heartbeat("i-2", 200, 1, TargetState::Ready), 300);
+    assert_eq!(target.state(300), TargetState::Ready, "a later start");
+    let mut other = LocalTarget::new(HEARTBEAT_MS);
+    other.set_recent(start("i-1", 100));
+    other.apply(heartbeat("i-0", 50, 5, TargetState::Ready), 200);
+    assert_eq!(other.state(200), TargetState::Starting, "an earlier start");
+}
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -184,6 +184,7 @@
         | Event::SettingsRefused
         | Event::LogsLeftOut
         | Event::HeartbeatRefused
+        | Event::LeaveNotStored
         | Event::TargetUnreachable
         | Event::HeaderDropped
         | Event::AcceptFailed
--- a/crates/daemon/src/mesh/incoming_links.rs
+++ b/crates/daemon/src/mesh/incoming_links.rs
@@ -50,13 +50,17 @@
     // A failure is ignored: without this option, responses only take longer.
     stream.set_nodelay(true).ok();
     let mut reader = LinkReader::new(stream.clone());
-    let LinkMessage::Hello { sender, sent_ms } = reader.read(mesh, OPEN_TIMEOUT_MS).await? else {
+    let hello = reader.read(mesh, OPEN_TIMEOUT_MS).await?;
+    let LinkMessage::Hello { sender, sent_ms, recent_target } = hello else {
         return Err(LinkError::UnexpectedMessage);
     };
     let (name, region, zone) = (sender.name.clone(), sender.region.clone(), sender.zone.clone());
     let (frames, queued) = FrameSender::new();
     let known_count = daemon_count(mesh);
     let departed = mesh.peers.borrow().departed();
+    if let Some(start) = recent_target {
+        mesh.local_target.borrow_mut().set_recent(start);
+    }
     let (local_record, state) = (mesh.local.clone(), mesh.state());
     let welcome = LinkMessage::Welcome { sender: local_record, known_count, state, departed };
     frames.send(encode(&welcome));
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -8,6 +8,7 @@
 mod bodies;
 mod callers;
 mod config;
+mod departures;
 mod discovery;
 mod forward;
 mod inbound;
@@ -83,6 +84,7 @@
     pub peers: RefCell<Peers>,
     pub links: links::Links,
     pub local_target: RefCell<LocalTarget>,
+    pub departures: departures::Departures,
     pub inbound: inbound::InboundProxy,
     pub bodies: bodies::InboundBodies,
     pub outbound_bodies: outbound_bodies::OutboundBodies,
@@ -225,13 +227,18 @@
         service: mesh_settings.service.clone(),
         link_addr: settings.advertised_addr.unwrap_or(settings.control_addr),
     };
+    let mut local_target = LocalTarget::new(mesh_settings.heartbeat_ms);
+    if mesh_settings.is_first_start {
+        local_target.set_knows_departed();
+    }
     let clock = Clock::default();
     let mesh = Rc::new(Mesh {
         clock,
         executor,
         peers: RefCell::new(Peers::new(local.clone())),
         links: links::Links::default(),
-        local_target: RefCell::new(LocalTarget::new(mesh_settings.heartbeat_ms)),
+        local_target: RefCell::new(local_target),
+        departures: departures::Departures::new(mesh_settings.is_first_start),
         inbound: inbound::InboundProxy::default(),
         bodies: bodies::InboundBodies::new(mesh_settings.link_mbps),
         outbound_bodies: outbound_bodies::OutboundBodies::new(mesh_settings.link_mbps),
@@ -254,6 +261,8 @@
     mesh.spawn(incoming_links::accept(mesh.clone(), link_listener));
     mesh.spawn(outgoing_links::dial(mesh.clone()));
     mesh.spawn(report::run(mesh.clone()));
+    mesh.spawn(departures::run(mesh.clone()));
+    mesh.spawn(departures::sweep(mesh.clone()));
     mesh.spawn(discovery::run(mesh.clone()));
     mesh.spawn(config::watch_store(mesh.clone()));
     mesh.spawn(inbound::monitor(mesh.clone()));
--- a/crates/daemon/src/mesh/operators.rs
+++ b/crates/daemon/src/mesh/operators.rs
@@ -17,7 +17,8 @@
 use pomeloreach_wire::clock::unix_ms;
 use pomeloreach_wire::h1::server::{ServerLimits, Service};
 use serde::Serialize;
-use std::future::{Ready, ready};
+use std::future::{Future, Ready, ready};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -39,10 +40,11 @@
 pub struct OperatorService(pub Rc<Mesh>);
 
 impl Service for OperatorService {
-    type ResponseFuture = Ready<Response<Bytes>>;
+    type ResponseFuture = Pin<Box<dyn Future<Output = Response<Bytes>>>>;
 
     fn respond(&self, request: Request<Bytes>) -> Self::ResponseFuture {
-        ready(handle(&self.0, &request))
+        let mesh = self.0.clone();
+        Box::pin(async move { handle(&mesh, &request).await })
     }
 
     fn limits(&self) -> ServerLimits {
@@ -72,11 +74,11 @@
     }
 }
 
-fn handle(mesh: &Rc<Mesh>, request: &Request<Bytes>) -> Response<Bytes> {
+async fn handle(mesh: &Rc<Mesh>, request: &Request<Bytes>) -> Response<Bytes> {
     let (method, path) = (request.method(), request.uri().path());
     match parse_control_call(method, path) {
-        Some(ControlCall::Heartbeat { id }) => handle_heartbeat(mesh, id, request.body()),
-        Some(ControlCall::Leave { id }) => handle_leave(mesh, &id, request.body()),
+        Some(ControlCall::Heartbeat { id }) => handle_heartbeat(mesh, id, request.body()).await,
+        Some(ControlCall::Leave { id }) => handle_leave(mesh, &id, request.body()).await,
         Some(ControlCall::Readiness) if mesh.is_ready() => empty_response(StatusCode::OK),
         Some(ControlCall::Readiness) => empty_response(StatusCode::SERVICE_UNAVAILABLE),
         None if *method == Method::GET && path == "/dump" => json_response(&dump(mesh)),
@@ -85,7 +87,7 @@
     }
 }
 
-fn handle_heartbeat(mesh: &Rc<Mesh>, id: Arc<str>, body: &[u8]) -> Response<Bytes> {
+async fn handle_heartbeat(mesh: &Rc<Mesh>, id: Arc<str>, body: &[u8]) -> Response<Bytes> {
     let settings = mesh.mesh_settings.borrow().clone();
     let decoded = decode_heartbeat(id.clone(), body, settings.target_addr, &settings.service);
     let heartbeat = match decoded {
@@ -104,29 +106,49 @@
         heartbeat.cold_left_ms
     );
     let now_ms = mesh.now_ms();
-    if heartbeat.state == TargetState::Draining {
-        // A draining target counts as departed, as after a leave.
-        mesh.peers.borrow_mut().add_departed(heartbeat.start(), now_ms);
+    // A draining target counts as departed, as after a leave.
+    let departed = (heartbeat.state == TargetState::Draining).then(|| heartbeat.start());
+    if let Some(start) = &departed {
+        mesh.peers.borrow_mut().add_departed(start.clone(), now_ms);
     }
     let effect = mesh.local_target.borrow_mut().apply(heartbeat, now_ms);
     if effect == HeartbeatEffect::Changed {
         log_event(Event::TargetAnnounced, &detail);
         mesh.publish_target_change();
     }
+    if let Some(start) = departed {
+        let is_recorded = mesh.departures.record(start, now_ms).await;
+        if !is_recorded {
+            return refuse_leave(&id);
+        }
+    }
     json_response(&serde_json::Map::new())
 }
 
-fn handle_leave(mesh: &Rc<Mesh>, id: &str, body: &[u8]) -> Response<Bytes> {
-    // A target that does not report its start time started before now.
-    let born_unix_ms = decode_leave(body).unwrap_or_else(unix_ms);
+async fn handle_leave(mesh: &Rc<Mesh>, id: &str, body: &[u8]) -> Response<Bytes> {
+    let last_born_unix_ms = mesh
+        .local_target
+        .borrow()
+        .last_heartbeat()
+        .filter(|last| &*last.id == id)
+        .map(|last| last.born_unix_ms);
+    // A target that is not known and does not report its start time started before now.
+    let born_unix_ms = decode_leave(body).or(last_born_unix_ms).unwrap_or_else(unix_ms);
     let start = TargetStart { id: id.into(), born_unix_ms };
     let now_ms = mesh.now_ms();
     mesh.peers.borrow_mut().add_departed(start.clone(), now_ms);
     log_event(Event::TargetLeft, &format!("target={id} born_unix_ms={born_unix_ms}"));
-    if mesh.local_target.borrow_mut().apply_leave(start, now_ms) {
+    if mesh.local_target.borrow_mut().apply_leave(start.clone(), now_ms) {
         mesh.publish_target_change();
     }
-    empty_response(StatusCode::OK)
+    let is_recorded = mesh.departures.record(start, now_ms).await;
+    if is_recorded { empty_response(StatusCode::OK) } else { refuse_leave(id) }
+}
+
+/// Responds to a leave that is in force but not in the store: it would not outlive the daemons.
+fn refuse_leave(id: &str) -> Response<Bytes> {
+    log_event(Event::LeaveNotStored, &format!("target={id}"));
+    empty_response(StatusCode::SERVICE_UNAVAILABLE)
 }
 
 /// The state of the daemon, for operators.
--- a/crates/daemon/src/mesh/outgoing_links.rs
+++ b/crates/daemon/src/mesh/outgoing_links.rs
@@ -65,7 +65,7 @@
     let connected = within_ms(OPEN_TIMEOUT_MS, TcpStream::connect(record.link_addr)).await;
     let Some(Ok(stream)) = connected else { return };
     let mut opened_link = None;
-    let result = run_outgoing(&mesh, stream, &mut opened_link).await;
+    let result = run_outgoing(&mesh, &record.name, stream, &mut opened_link).await;
     let Some((name, start_id)) = opened_link else { return };
     let removed = {
         let mut outgoing = mesh.links.outgoing.borrow_mut();
@@ -81,16 +81,20 @@
     }
 }
 
-/// Serves a link until it ends. Sets `opened_link` once the link is in the table.
+/// Serves a link to the daemon `dialled` until it ends. Sets `opened_link` once the link is in the
+/// table.
 async fn run_outgoing(
     mesh: &Rc<Mesh>,
+    dialled: &str,
     stream: TcpStream,
     opened_link: &mut Option<(Arc<str>, u64)>,
 ) -> Result<(), LinkError> {
     // A failure is ignored: without this option, calls only take longer.
     stream.set_nodelay(true).ok();
     let (frames, queued) = FrameSender::new();
-    frames.send(encode(&LinkMessage::Hello { sender: mesh.local.clone(), sent_ms: boot_ms() }));
+    let recent_target = mesh.peers.borrow().recent_target(dialled, mesh.now_ms());
+    let (sender, sent_ms) = (mesh.local.clone(), boot_ms());
+    frames.send(encode(&LinkMessage::Hello { sender, sent_ms, recent_target }));
     // Closing the queue also ends the reading half: only links without calls are closed.
     mesh.spawn(write_frames(stream.clone(), queued, Shutdown::Both));
     let mut reader = LinkReader::new(stream);
