A connection to a target ends after a response without the request's id

Cause: a target refuses without an id. The daemon kept the connection and sent the next order on it. A late second copy of the refusal was taken for the response to that order: without an id it cannot be told apart. Responses with an id were told apart already (`repeated_answers`, `is_mismatched`).

A connection is now pooled only after a response that carries the id of its request. So on a connection in use every earlier response had an id, and a copy of one is recognised. It costs a new connection after each refusal of a target without an id; refusals are rare, since the inbound proxy admits only as many requests as the target has slots. Weighed and left: taking such a response on a used connection as unknown. It would turn true refusals into 502, which callers must not repeat.

Our own deployment uses each connection to a target for one request.

--- a/crates/daemon/src/mesh/forward.rs
+++ b/crates/daemon/src/mesh/forward.rs
@@ -72,7 +72,9 @@
     if !target_headers.not_executed && !target_headers.is_signed {
         return Err((ResultCode::AnswerCut, true));
     }
-    if !connection.must_close() {
+    // A second copy of a response without an id could not be told from the response to the next
+    // request on the connection.
+    if !connection.must_close() && target_headers.has_request_id {
         let ttl_ms = idle_ttl_ms(response.headers());
         let idle = IdleConnection { connection, used_ms: mesh.now_ms(), ttl_ms };
         mesh.inbound.put_idle(idle);
