An idle connection keeps no memory of the last body that was read on it

A daemon's memory grew by a body with each connection on which a caller had sent one, for as long as the connection was idle.

Cause: a body was split off the reader's buffer, and what stayed in the reader shared the allocation. A body in chunks left the buffer as large as its largest chunk. After a body the reader now moves the bytes that were not parsed yet to an allocation of their own, which is empty unless the caller pipelines.

The sum of the bodies of requests in progress still has no bound (docs/MESH.md, "Bounds").

--- a/crates/wire/src/h1/reader.rs
+++ b/crates/wire/src/h1/reader.rs
@@ -166,13 +166,14 @@
         }
     }
 
-    /// Reads a complete body.
+    /// Reads a complete body. The reader keeps no memory of it.
     pub async fn read_body(
         &mut self,
         framing: Framing,
         bytes_max: usize,
     ) -> Result<Bytes, MessageError> {
         match framing {
+            Framing::Length(0) => Ok(Bytes::new()),
             Framing::Length(length) if length > bytes_max => {
                 Err(MessageError::BodyTooLarge(bytes_max))
             }
@@ -180,7 +181,9 @@
                 while self.buffer.len() < length {
                     self.fill_or_truncated().await?;
                 }
-                Ok(self.buffer.split_to(length).freeze())
+                let body = self.buffer.split_to(length).freeze();
+                self.release_buffer();
+                Ok(body)
             }
             Framing::UntilClose => {
                 while self.fill().await? {
@@ -188,12 +191,22 @@
                         return Err(MessageError::BodyTooLarge(bytes_max));
                     }
                 }
-                Ok(self.buffer.split().freeze())
+                Ok(std::mem::take(&mut self.buffer).freeze())
+            }
+            Framing::Chunked => {
+                let body = self.read_chunked_body(bytes_max).await;
+                self.release_buffer();
+                body
             }
-            Framing::Chunked => self.read_chunked_body(bytes_max).await,
         }
     }
 
+    /// Moves the bytes that were not parsed yet to an allocation of their own. That of the buffer is
+    /// as large as the body that was in it, and is shared with the body.
+    fn release_buffer(&mut self) {
+        self.buffer = BytesMut::from(&self.buffer[..]);
+    }
+
     async fn read_chunked_body(&mut self, bytes_max: usize) -> Result<Bytes, MessageError> {
         let mut body = BytesMut::new();
         loop {
