A head that ends early is no response; an informational one is none in our own deployment

The one case that failed is another fault: our own deployment took an informational response (100) for the final one, whether it was cut after it or not. It is now no response, so that the caller gets `answer-lost` and not a status that says nothing about its request.

--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -120,9 +120,13 @@
     let result = async_h1::connect(stream, request).await;
     let mut response = result.map_err(|error| HttpError::NoResponse(error.to_string()))?;
     let status = u16::from(response.status());
+    if status < 200 {
+        // `async-h1` takes it for the final response.
+        return Err(HttpError::NoResponse(format!("informational response {status}")));
+    }
     let declared = response.header(CONTENT_LENGTH).map(|value| value.last().as_str().to_string());
     let is_chunked = response.header(TRANSFER_ENCODING).is_some();
-    let has_body = has_body && status >= 200 && status != 204 && status != 304;
+    let has_body = has_body && status != 204 && status != 304;
     if has_body && declared.is_none() && !is_chunked {
         return Err(BodyError::Truncated.into());
     }
