Own deployment: a stopping daemon exits after callers have received their responses

The same cause as on the platform's path, in our own deployment: a request counted as ended when its response was computed, so that the daemon exited while it wrote a large one; and a connection that ended was closed with what the caller had sent unread, which resets it.

A request now counts until its response is written. While the daemon stops, each response closes its connection, and the request counts until the caller has closed it too, for 2 s at the most. The way to end a connection moved to `wire::close`, which both servers use. The operator port ends its connections in the same way.

--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -68,8 +68,10 @@
         let shared = shared.clone();
         async move {
             let response = within_ms(RESPONSE_TIMEOUT_MS, handle(&shared, request)).await;
-            response
-                .unwrap_or_else(|| error_response(ResultCode::TimedOut, "the daemon took too long"))
+            let response = response.unwrap_or_else(|| {
+                error_response(ResultCode::TimedOut, "the daemon took too long")
+            });
+            (response, ())
         }
     })
     .await;
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -4,7 +4,7 @@
 use crate::calls;
 use crate::directory::{entries_for, wait_for_new_entries};
 use crate::inbound::{self, DEADLINE_HEADER, is_forwarded};
-use crate::runtime::{Shared, lock};
+use crate::runtime::{ProgressGuard, Shared, lock};
 use async_net::{TcpListener, TcpStream};
 use http_types::{Body, Request, Response, StatusCode};
 use pomeloreach_core::attempt::{Attempts, NextStep};
@@ -17,7 +17,6 @@
 use pomeloreach_wire::clock::{sleep_ms, within_ms};
 use pomeloreach_wire::http::{self, BodyError};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// Longest time to receive a request body, in milliseconds.
 const BODY_TIMEOUT_MS: u64 = 30_000;
@@ -50,32 +49,18 @@
     http::serve(stream, |request| {
         let (shared, caller) = (shared.clone(), caller.clone());
         async move {
-            let request_guard = RequestGuard::new(&shared);
+            let request_guard = ProgressGuard::new(shared.clone(), Shared::caller_requests);
             let handling = handle(&shared, request);
-            let response = futures_lite::future::or(handling, disconnected(&caller)).await;
-            drop(request_guard);
-            response
+            let mut response = futures_lite::future::or(handling, disconnected(&caller)).await;
+            if shared.is_stopping() {
+                response.insert_header("connection", "close");
+            }
+            (response, request_guard)
         }
     })
     .await;
 }
 
-/// Counts a request of a caller until it is dropped.
-struct RequestGuard<'a>(&'a Shared);
-
-impl<'a> RequestGuard<'a> {
-    fn new(shared: &'a Shared) -> Self {
-        shared.caller_requests().fetch_add(1, Ordering::Relaxed);
-        Self(shared)
-    }
-}
-
-impl Drop for RequestGuard<'_> {
-    fn drop(&mut self) {
-        self.0.caller_requests().fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Waits until the caller has closed its connection; its request is then cancelled. Returns a
 /// placeholder response that no caller is expected to receive.
 async fn disconnected(caller: &TcpStream) -> Response {
--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -67,7 +67,7 @@
     applied_versions: Mutex<VecDeque<AppliedVersion>>,
     /// The routes of the applied version; absent until the daemon is ready.
     routes: Mutex<Option<Arc<RouteTable>>>,
-    /// Number of requests of callers that have no response yet.
+    /// Number of requests of callers whose responses are not sent yet.
     caller_requests: AtomicU32,
     is_stopping: AtomicBool,
 }
@@ -190,6 +190,25 @@
     Ok(())
 }
 
+/// Counts a request or call as in progress until it is dropped.
+pub struct ProgressGuard {
+    shared: Arc<Shared>,
+    counter: fn(&Shared) -> &AtomicU32,
+}
+
+impl ProgressGuard {
+    pub fn new(shared: Arc<Shared>, counter: fn(&Shared) -> &AtomicU32) -> Self {
+        counter(&shared).fetch_add(1, Ordering::Relaxed);
+        Self { shared, counter }
+    }
+}
+
+impl Drop for ProgressGuard {
+    fn drop(&mut self) {
+        (self.counter)(&self.shared).fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 pub async fn listen(addr: SocketAddr) -> Result<TcpListener, DaemonError> {
     TcpListener::bind(addr).await.map_err(|source| DaemonError::Listen { addr, source })
 }
--- a/crates/standins/src/serve_http.rs
+++ b/crates/standins/src/serve_http.rs
@@ -50,9 +50,11 @@
         let (stream, _) = listener.accept().await?;
         let handler = handler.clone();
         let connection = stream.clone();
-        executor
-            .spawn(http::serve(stream, move |request| handler(request, connection.clone())))
-            .detach();
+        let handler = move |request| {
+            let response = handler(request, connection.clone());
+            async move { (response.await, ()) }
+        };
+        executor.spawn(http::serve(stream, handler)).detach();
     }
 }
 
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -43,6 +43,8 @@
     pub drop_answers: bool,
     /// Every request fails with status 500, while the target announces itself as ready.
     pub lie_ready: bool,
+    /// How much longer the bodies of responses are, in bytes.
+    pub fill_bytes: usize,
 }
 
 impl Default for Behaviour {
@@ -53,6 +55,7 @@
             cut_answers: false,
             drop_answers: false,
             lie_ready: false,
+            fill_bytes: 0,
         }
     }
 }
@@ -220,7 +223,8 @@
         }
         let mut response = Response::new(StatusCode::Ok);
         response.insert_header("x-ran-at", format!("{}", self.settings.port));
-        response.set_body(format!("{id} {} {}", self.settings.service, body.len()));
+        let fill = " ".repeat(behaviour.fill_bytes);
+        response.set_body(format!("{id} {}{fill} {}", self.settings.service, body.len()));
         response
     }
 
--- /dev/null
+++ b/crates/standins/tests/planned_stop.rs
@@ -0,0 +1,56 @@
+//! Planned stops of daemons of our own deployment while large responses are sent.
+
+use http_types::Method;
+use pomeloreach_standins::fleet::{DaemonIdentity, Fleet, wait_for};
+use pomeloreach_standins::target::Behaviour;
+use rustix::process::Signal;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// More than the system takes over from the daemon at once.
+const FILL_BYTES: usize = 4_000_000;
+
+/// Starts a daemon for callers and one with a target whose responses are large.
+fn start_fleet(service_ms: u64) -> Fleet {
+    let mut fleet = Fleet::start();
+    fleet.add_daemon(DaemonIdentity::new("front-1", "kigali", "kigali-a"));
+    fleet.add_daemon(DaemonIdentity::new("yard-1", "kigali", "kigali-b"));
+    fleet.add_target(1, "yard", 8);
+    fleet.wait_ready(15_000);
+    let changes = serde_json::from_value(serde_json::json!([
+        {"action": "set-pool", "name": "yard", "expected_in": 0,
+         "pool": {"service": "yard", "slow_start_ms": 0}},
+        {"action": "set-route", "name": "yard", "expected_in": 0,
+         "route": {"host": "yard", "pool": "yard", "deadline_ms": 3000}},
+    ]));
+    assert_eq!(fleet.edit(0, "tables", changes.unwrap()).unwrap().number, 1001);
+    fleet.wait_version(1, 5_000);
+    wait_for("the target is known", 15_000, || {
+        fleet.request(0, Method::Get, "yard", "/", "warm", "").is_ok_and(|ok| ok.status == 200)
+    });
+    fleet.set_behaviour(
+        0,
+        &Behaviour { service_ms, fill_bytes: FILL_BYTES, ..Behaviour::default() },
+    );
+    fleet
+}
+
+/// The daemon exited while it wrote a large response, since it only waited until it was computed.
+#[test]
+fn slow_caller_gets_whole_response() {
+    let mut fleet = start_fleet(200);
+    let mut caller = TcpStream::connect(fleet.daemons[0].caller_addr).unwrap();
+    caller.write_all(b"POST /saw HTTP/1.1\r\nhost: yard\r\ncontent-length: 0\r\n\r\n").unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    fleet.daemons[0].process.signal(Signal::TERM);
+    std::thread::sleep(Duration::from_millis(800));
+    let (mut received, mut part) = (0, vec![0; 64 * 1024]);
+    while let Ok(bytes) = caller.read(&mut part)
+        && bytes > 0
+    {
+        received += bytes;
+    }
+    assert!(received > FILL_BYTES, "{received}");
+    assert!(fleet.daemons[0].process.wait(), "the daemon did not exit with code 0");
+}
--- a/crates/wire/src/h1/server.rs
+++ b/crates/wire/src/h1/server.rs
@@ -3,29 +3,23 @@
 use super::reader::{Framing, MessageError, Reader, declared_framing};
 use super::{connection_lists, encode_headers};
 use crate::clock::{Clock, within_ms};
+use crate::close::{close_after_last_message, discard_until_closed};
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_net::TcpStream;
 use bytes::Bytes;
+use futures_lite::AsyncWriteExt;
 use futures_lite::future::{or, pending};
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT};
 use http::{Method, Request, Response, StatusCode, Version};
 use std::cell::Cell;
 use std::future::Future;
-use std::net::Shutdown;
 
 /// The capacity of a connection's response queue, which bounds its pipelined requests.
 const PIPELINED_MAX: usize = 32;
 /// How often a request that waits for earlier responses checks whether they are sent, in
 /// milliseconds.
 const RESPONSES_POLL_MS: u64 = 5;
-/// The longest wait for the client to close the connection after the last response, in milliseconds:
-/// some round trips and retransmissions, in which the rest of the response arrives.
-const CLOSE_TIMEOUT_MS: u64 = 2_000;
-/// The size of the reads whose bytes are discarded.
-const DISCARD_BYTES: usize = 4 * 1024;
-
 /// Limits on the size and duration of what a client sends.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
@@ -120,11 +114,7 @@
 /// Serves a connection until it closes. Pipelined GET and HEAD requests are handled concurrently; a
 /// request with another method starts after all earlier responses are sent. Responses are sent in
 /// the order of the requests. Requests in progress are cancelled when the client closes the
-/// connection.
-///
-/// A connection that this side ends stays open for reading until the client has closed it. If it were
-/// closed with unread bytes, or bytes arrived after that, the system would reset it and discard what
-/// the client has not received yet.
+/// connection. A connection that this side ends stays open for reading until the client has closed it.
 pub async fn serve(executor: &LocalExecutor<'static>, stream: TcpStream, service: &impl Service) {
     // The result does not matter: without the option small responses are only delayed.
     stream.set_nodelay(true).ok();
@@ -163,15 +153,7 @@
     if or(reading, writing).await {
         return;
     }
-    // Fails only if the connection is broken, which `discard_until_closed` then notices.
-    stream.shutdown(Shutdown::Write).ok();
-    within_ms(CLOSE_TIMEOUT_MS, discard_until_closed(stream)).await;
-}
-
-/// Reads and discards what the client sends until it closes the connection.
-async fn discard_until_closed(mut stream: TcpStream) {
-    let mut discarded = vec![0; DISCARD_BYTES];
-    while stream.read(&mut discarded).await.is_ok_and(|bytes| bytes > 0) {}
+    close_after_last_message(stream).await;
 }
 
 /// Reads the requests of a connection and starts to handle them.
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -5,8 +5,9 @@
 //! response without any length as empty; this module reports such a response as truncated.
 
 use crate::clock::within_ms;
+use crate::close::close_after_last_message;
 use async_net::TcpStream;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use http_types::headers::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_types::{Body, Method, Request, Response, StatusCode, Url};
 use pomeloreach_core::api::ErrorResponse;
@@ -14,7 +15,11 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
 use thiserror::Error;
 
 /// The timeout for opening a connection on the local network, in milliseconds.
@@ -197,23 +202,74 @@
 }
 
 /// Serves one connection until it closes. A request that cannot be parsed gets an error response
-/// with a result code.
-pub async fn serve<F, Fut>(mut stream: TcpStream, handler: F)
+/// with a result code. What the handler returns beside a response is kept until the response is
+/// written, and if the connection ends after it, until the client has closed the connection.
+pub async fn serve<F, Fut, G>(stream: TcpStream, handler: F)
 where
     F: Fn(Request) -> Fut,
-    Fut: Future<Output = Response>,
+    Fut: Future<Output = (Response, G)>,
+    G: Send + 'static,
 {
     stream.set_nodelay(true).ok();
+    let connection = ServedConnection { stream, guard: Arc::new(Mutex::new(None)) };
     let endpoint = |request| {
         let response = handler(request);
-        async move { Ok(response.await) }
+        let guard_slot = connection.guard.clone();
+        async move {
+            let (response, guard) = response.await;
+            *guard_slot.lock().unwrap_or_else(PoisonError::into_inner) = Some(guard);
+            Ok(response)
+        }
     };
-    if let Err(error) = async_h1::accept(stream.clone(), endpoint).await {
-        send_malformed_error(&mut stream, &error.to_string()).await;
+    if let Err(error) = async_h1::accept(connection.clone(), endpoint).await {
+        send_malformed_error(&mut connection.stream.clone(), &error.to_string()).await;
     }
+    close_after_last_message(connection.stream.clone()).await;
 }
 
-/// Sends the error response to a request that cannot be parsed, and closes the connection.
+/// The connection of a client, with what is kept until the last response is written.
+struct ServedConnection<G> {
+    stream: TcpStream,
+    guard: Arc<Mutex<Option<G>>>,
+}
+
+impl<G> Clone for ServedConnection<G> {
+    fn clone(&self) -> Self {
+        Self { stream: self.stream.clone(), guard: self.guard.clone() }
+    }
+}
+
+impl<G> AsyncRead for ServedConnection<G> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        // The next request is read after the response was written.
+        self.guard.lock().unwrap_or_else(PoisonError::into_inner).take();
+        Pin::new(&mut self.stream).poll_read(context, bytes)
+    }
+}
+
+impl<G> AsyncWrite for ServedConnection<G> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
+
+/// Sends the error response to a request that cannot be parsed.
 async fn send_malformed_error(stream: &mut TcpStream, reason: &str) {
     let code = ResultCode::Malformed;
     let error = ErrorResponse { code, number: code.number(), reason: reason.to_string() };
@@ -226,5 +282,4 @@
     );
     stream.write_all(head.as_bytes()).await.ok();
     stream.write_all(body.as_bytes()).await.ok();
-    stream.close().await.ok();
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,6 +2,7 @@
 //! checked, and the client of the object store.
 
 pub mod clock;
+pub mod close;
 pub mod compress;
 pub mod frame;
 pub mod h1;
