Own deployment: a stopping daemon exits after other daemons have received their results

A call of another daemon counted as ended when its target had responded. A daemon that stopped then closed its QUIC connections while results were being sent, and the callers got 502 (answer lost) or 504 for orders that had run.

A call now counts until the other daemon has received the result, for which `serve_call` waits already.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -2,7 +2,7 @@
 //! stream, with a head and a body in each direction.
 
 use crate::links::STREAM_CALL;
-use crate::runtime::Shared;
+use crate::runtime::{ProgressGuard, Shared};
 use pomeloreach_core::call::{BODY_BYTES_MAX, CallRequest, CallResponse, HEAD_BYTES_MAX};
 use pomeloreach_core::code::ResultCode;
 use pomeloreach_core::endpoint::Endpoint;
@@ -102,8 +102,10 @@
     }
 }
 
-/// Handles a call from another daemon to the local target.
+/// Handles a call from another daemon to the local target. The call is in progress until the other
+/// daemon has received the response.
 pub async fn serve_call(shared: Arc<Shared>, mut send: SendStream, mut receive: RecvStream) {
+    let _guard = ProgressGuard::new(shared.clone(), Shared::calls);
     let call = within_ms(TRANSFER_TIMEOUT_MS, receive_call(&mut receive)).await.flatten();
     let Some((request, body)) = call else {
         let response =
--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -69,6 +69,8 @@
     routes: Mutex<Option<Arc<RouteTable>>>,
     /// Number of requests of callers whose responses are not sent yet.
     caller_requests: AtomicU32,
+    /// Number of calls of other daemons whose responses these have not received yet.
+    calls: AtomicU32,
     is_stopping: AtomicBool,
 }
 
@@ -107,6 +109,10 @@
         &self.caller_requests
     }
 
+    pub fn calls(&self) -> &AtomicU32 {
+        &self.calls
+    }
+
     pub fn spawn(&self, future: impl Future<Output = ()> + Send + 'static) {
         self.executor.spawn(future).detach();
     }
@@ -170,6 +176,7 @@
         applied_versions: Mutex::new(VecDeque::new()),
         routes: Mutex::new(None),
         caller_requests: AtomicU32::new(0),
+        calls: AtomicU32::new(0),
         is_stopping: AtomicBool::new(false),
         local,
         settings,
@@ -246,7 +253,8 @@
     let drain_until_ms = shared.clock.now_ms() + shared.settings.drain_max_ms;
     while shared.clock.now_ms() < drain_until_ms {
         let caller_requests = shared.caller_requests.load(Ordering::Relaxed);
-        if caller_requests == 0 && shared.inbound.in_flight() == 0 {
+        let calls = shared.calls.load(Ordering::Relaxed);
+        if caller_requests == 0 && calls == 0 && shared.inbound.in_flight() == 0 {
             break;
         }
         sleep_ms(DRAIN_POLL_MS).await;
--- a/crates/standins/tests/planned_stop.rs
+++ b/crates/standins/tests/planned_stop.rs
@@ -54,3 +54,26 @@
     assert!(received > FILL_BYTES, "{received}");
     assert!(fleet.daemons[0].process.wait(), "the daemon did not exit with code 0");
 }
+
+/// The daemon of a target exited while it sent the result of a call to another daemon.
+#[test]
+fn other_daemon_gets_whole_result() {
+    let mut fleet = start_fleet(200);
+    let responses: Vec<_> = std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..4)
+            .map(|caller| {
+                let fleet = &fleet;
+                let id = format!("order-{caller}");
+                scope.spawn(move || fleet.request(0, Method::Post, "yard", "/saw", &id, "brass"))
+            })
+            .collect();
+        std::thread::sleep(Duration::from_millis(100));
+        fleet.daemons[1].process.signal(Signal::TERM);
+        callers.into_iter().map(|caller| caller.join().unwrap().unwrap()).collect()
+    });
+    for response in &responses {
+        let code = response.header("x-pomeloreach-code");
+        assert_eq!((response.status, code), (200, Some("2000")), "{} bytes", response.body.len());
+    }
+    assert!(fleet.daemons[1].process.wait(), "the daemon did not exit with code 0");
+}
