--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -59,6 +59,10 @@
     DaemonNotReady = 2011,
     /// No route of the version in force matches, and a newer version exists, which may have one.
     ConfigOutdated = 2012,
+    /// The route needs the API key of a client account, and the request has none or an unknown one.
+    KeyRefused = 2013,
+    /// The client account has used up its quota.
+    QuotaExceeded = 2014,
     /// The connection failed after the request was forwarded, before an answer arrived.
     AnswerLost = 2101,
     /// The deadline passed after the request was forwarded.
@@ -107,6 +111,8 @@
             Self::AnswerLost | Self::AnswerCut | Self::AnswerTooLarge => 502,
             Self::NoRoute | Self::NotFound => 404,
             Self::RequestCut | Self::Malformed => 400,
+            Self::KeyRefused => 401,
+            Self::QuotaExceeded => 429,
             Self::RequestTooLarge | Self::BodyTooLarge => 413,
             Self::TimedOut => 408,
             Self::StoreAway
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! and carries out the outputs. Randomised tests run the same code; see `docs/PROOFS.md`.
 
 mod accepting;
+pub mod account;
 pub mod admission;
 pub mod api;
 pub mod attempt;
--- a/crates/core/src/mesh/delta.rs
+++ b/crates/core/src/mesh/delta.rs
@@ -1,6 +1,7 @@
 //! Row changes between two published versions, so that the size of an update depends on what
 //! changed.
 
+use crate::account::Account;
 use crate::mesh::published::{CallerLimits, PublishedConfig};
 use crate::row::{Pool, Route};
 use serde::{Deserialize, Serialize};
@@ -15,6 +16,8 @@
     pub version: u64,
     pub routes: BTreeMap<Arc<str>, Option<Route>>,
     pub pools: BTreeMap<Arc<str>, Option<Pool>>,
+    #[serde(default)]
+    pub accounts: BTreeMap<Arc<str>, Option<Account>>,
     pub limits: CallerLimits,
     /// The digest of the configuration after the changes.
     pub digest: String,
@@ -28,6 +31,7 @@
             version: next.version,
             routes: row_changes(&base.routes, &next.routes),
             pools: row_changes(&base.pools, &next.pools),
+            accounts: row_changes(&base.accounts, &next.accounts),
             limits: next.limits,
             digest: next.digest(),
         }
@@ -43,6 +47,7 @@
             version: self.version,
             routes: apply_changes(&base.routes, &self.routes),
             pools: apply_changes(&base.pools, &self.pools),
+            accounts: apply_changes(&base.accounts, &self.accounts),
             limits: self.limits,
         };
         (next.digest() == self.digest).then_some(next)
--- a/crates/core/src/mesh/history.rs
+++ b/crates/core/src/mesh/history.rs
@@ -19,6 +19,7 @@
     version: u64,
     routes: BTreeSet<Arc<str>>,
     pools: BTreeSet<Arc<str>>,
+    accounts: BTreeSet<Arc<str>>,
 }
 
 /// The latest version steps of this daemon, the oldest first.
@@ -35,6 +36,7 @@
             version: next.version,
             routes: changed_names(&base.routes, &next.routes),
             pools: changed_names(&base.pools, &next.pools),
+            accounts: changed_names(&base.accounts, &next.accounts),
         };
         self.steps.push_back(step);
         while self.steps.len() > STEPS_MAX {
@@ -53,13 +55,16 @@
         let later_steps = || self.steps.iter().filter(|step| step.version > held_version);
         let routes: BTreeSet<_> = later_steps().flat_map(|step| &step.routes).collect();
         let pools: BTreeSet<_> = later_steps().flat_map(|step| &step.pools).collect();
+        let accounts: BTreeSet<_> = later_steps().flat_map(|step| &step.accounts).collect();
         let route_of = |name: &Arc<str>| (name.clone(), newest.routes.get(name).cloned());
         let pool_of = |name: &Arc<str>| (name.clone(), newest.pools.get(name).cloned());
+        let account_of = |name: &Arc<str>| (name.clone(), newest.accounts.get(name).cloned());
         Delta {
             base_version: held_version,
             version: newest.version,
             routes: routes.into_iter().map(route_of).collect(),
             pools: pools.into_iter().map(pool_of).collect(),
+            accounts: accounts.into_iter().map(account_of).collect(),
             limits: newest.limits,
             digest: digest.to_string(),
         }
--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -10,6 +10,7 @@
 use crate::mesh::state::{ConfigState, DaemonRecord, DaemonState, TargetLoad};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 use strum::IntoStaticStr;
 
 /// One message on a link.
@@ -94,7 +95,7 @@
 }
 
 /// The properties of a request, besides its deadline, that decide its admission to a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdmissionTerms {
     /// The time left until the caller's latency goal, in milliseconds.
     pub goal_left_ms: u64,
@@ -106,6 +107,8 @@
     /// The longest useful wait in the queue, in milliseconds; after a longer one another target
     /// would have been better. Absent if no other target meets the latency goal.
     pub wait_max_ms: Option<u32>,
+    /// The client account of the caller; absent for requests without a key.
+    pub account: Option<Arc<str>>,
 }
 
 /// The result of a call.
--- a/crates/core/src/mesh/published.rs
+++ b/crates/core/src/mesh/published.rs
@@ -1,5 +1,6 @@
 //! The configuration as it is published in the store.
 
+use crate::account::Account;
 use crate::check::check_consistency;
 use crate::code::ResultCode;
 use crate::config::{Config, Refusal, Row, Tables};
@@ -48,6 +49,9 @@
     pub version: u64,
     pub routes: BTreeMap<Arc<str>, Route>,
     pub pools: BTreeMap<Arc<str>, Pool>,
+    /// The client accounts; without any, callers need no key.
+    #[serde(default)]
+    pub accounts: BTreeMap<Arc<str>, Account>,
     pub limits: CallerLimits,
 }
 
--- a/crates/core/src/row.rs
+++ b/crates/core/src/row.rs
@@ -50,6 +50,9 @@
     /// pool.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub attempts_max: Option<u8>,
+    /// Whether callers need no API key, although the configuration has client accounts.
+    #[serde(default, rename = "public", skip_serializing_if = "std::ops::Not::not")]
+    pub is_public: bool,
 }
 
 /// A row of the pools table: which targets serve the routes that name it.
--- a/crates/core/tests/mesh_config.rs
+++ b/crates/core/tests/mesh_config.rs
@@ -29,6 +29,7 @@
         target_latency_ms: Some(300),
         priority: 1,
         attempts_max: Some(2),
+        is_public: false,
     }
 }
 
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -281,6 +281,7 @@
             is_idempotent: self.route.route.idempotent,
             service_ms: self.typical_times().service_ms.map(|ms| ms as u32),
             wait_max_ms,
+            account: None,
         };
         InboundRequest { request, terms, body: self.body.clone() }
     }
