Fair queueing between accounts in the admission queue

Within a rank and lateness, queued requests run in the order of start-time fair queueing, with the expected service time as cost. In a full queue, and in a full share of late requests, a request displaces one of an account with more queued work in the rank.

`Admission::admit` is for requests without an account, whose order does not change; `admit_from` names the account. `Arrival` stays `Copy` and without the account, so that the tests of the queue did not change.

Load reports distinguish four priorities of accounts times four of routes. They stay as small as before, but for one byte, while only requests of account priority 0 are queued.

--- a/crates/core/src/account.rs
+++ b/crates/core/src/account.rs
@@ -69,3 +69,8 @@
 pub fn combined_rank(account_priority: u8, route_priority: u8) -> u8 {
     account_priority.min(PRIORITIES - 1) * PRIORITIES + route_priority.min(PRIORITIES - 1)
 }
+
+/// The account priority and the route priority that a rank was combined from.
+pub fn split_rank(rank: u8) -> (u8, u8) {
+    (rank / PRIORITIES, rank % PRIORITIES)
+}
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -1,9 +1,14 @@
 //! Admission control for one target: requests up to its number of slots run at once, a bounded
-//! queue holds more, and the rest are refused with the reason.
+//! queue holds more, and the rest are refused with the reason. Within a rank, the queue is fair
+//! between client accounts.
 
+use crate::account::split_rank;
 use crate::code::ResultCode;
+use crate::displacement;
 use crate::endpoint::TargetState;
-use std::collections::VecDeque;
+use crate::fair_order::{FairOrder, Flows, cost_us};
+use std::collections::{BTreeSet, VecDeque};
+use std::sync::Arc;
 
 /// Weight of a new sample in the moving average of service times.
 const SERVICE_TIME_WEIGHT: f64 = 0.1;
@@ -21,16 +26,24 @@
 /// request can expire earlier by `LATE_TIME_LEFT_SHARE`.
 const MIN_TIME_LEFT_SHARE: f64 = 0.7;
 
-/// Number of ranks for which a load report gives the queue length; higher ranks count as the last.
+/// Number of priorities of routes, and of accounts, for which a load report gives the queue length;
+/// higher ones count as the last.
 pub const RANKS: usize = 4;
 
+/// The class of a rank in load reports: by the priority of the account, then by that of the route.
+pub fn rank_class(rank: u8) -> (usize, usize) {
+    let (account_priority, route_priority) = split_rank(rank);
+    let class = |priority: u8| usize::from(priority).min(RANKS - 1);
+    (class(account_priority), class(route_priority))
+}
+
 /// The result of [`Admission::admit`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
     Run,
     Queue,
-    /// The request is queued, and the queued request with this ticket, which comes later in the
-    /// order of the queue, is removed and must be refused.
+    /// The request is queued, and the queued request with this ticket is removed and must be
+    /// refused: it comes later in the order of the queue, or its account has more queued work.
     Displace {
         ticket: u64,
     },
@@ -61,9 +74,12 @@
 }
 
 /// A request in the queue.
-#[derive(Clone, Copy, Debug)]
-struct QueuedRequest {
-    arrival: Arrival,
+#[derive(Clone, Debug)]
+pub(crate) struct QueuedRequest {
+    pub(crate) arrival: Arrival,
+    pub(crate) account: Option<Arc<str>>,
+    /// The place of the request among those of its rank and lateness, see [`FairOrder`].
+    start_us: u64,
     /// Whether the request is expected to miss its latency goal. Within its rank, such a request
     /// runs after those that can still meet theirs.
     is_late: bool,
@@ -73,10 +89,19 @@
 }
 
 impl QueuedRequest {
-    /// Requests with a lower key run first.
-    fn sort_key(&self) -> (u8, bool) {
+    /// Requests of a lower class run first.
+    pub(crate) fn class(&self) -> (u8, bool) {
         (self.arrival.rank, self.is_late)
     }
+
+    /// Requests with a lower key run first.
+    fn sort_key(&self) -> (u8, bool, u64) {
+        (self.arrival.rank, self.is_late, self.start_us)
+    }
+
+    pub(crate) fn cost_us(&self) -> u64 {
+        cost_us(self.service_ms)
+    }
 }
 
 /// The running and queued requests of one target.
@@ -87,6 +112,7 @@
     running: u16,
     /// In the order in which the requests will run.
     queue: VecDeque<QueuedRequest>,
+    fair_order: FairOrder,
     queued_per_slot: usize,
     /// Moving average of the service time, in milliseconds; 0 until the first request has ended.
     service_ms: f64,
@@ -99,6 +125,7 @@
             slots: 0,
             running: 0,
             queue: VecDeque::new(),
+            fair_order: FairOrder::default(),
             queued_per_slot: QUEUED_PER_SLOT,
             service_ms: 0.0,
         }
@@ -135,19 +162,46 @@
         self.in_flight() - self.running
     }
 
-    /// For each rank, the number of queued requests that would run before a new request of that
-    /// rank which can meet its goal. The last element stands for all higher ranks too, so it counts
-    /// the whole queue.
+    /// For each priority of routes, the number of queued requests that would run before a new
+    /// request of account priority 0 which can meet its goal and which has no account, or one
+    /// without queued requests. The last element stands for all higher priorities too, so it also
+    /// counts late requests.
+    ///
+    /// The inbound proxy refuses a request of an account with more queued work. A higher number for
+    /// all would have other accounts refused at the origin that would find room here.
     pub fn ahead(&self) -> [u8; RANKS] {
-        std::array::from_fn(|rank| {
-            let is_last = rank + 1 == RANKS;
-            let requests_ahead = self.queue.iter().filter(|other| {
-                is_last || (usize::from(other.arrival.rank), other.is_late) <= (rank, false)
-            });
-            u8::try_from(requests_ahead.count()).unwrap_or(u8::MAX)
+        self.ahead_of_account_class(0)
+    }
+
+    /// The same as [`Self::ahead`] for requests of the account priorities 1, 2, and 3 or higher.
+    /// `None` if only requests of account priority 0 are queued, which all run before these.
+    pub fn ahead_by_account(&self) -> Option<[[u8; RANKS]; RANKS - 1]> {
+        let is_needed = self.queue.iter().any(|other| rank_class(other.arrival.rank).0 > 0);
+        is_needed.then(|| std::array::from_fn(|index| self.ahead_of_account_class(index + 1)))
+    }
+
+    fn ahead_of_account_class(&self, account_class: usize) -> [u8; RANKS] {
+        std::array::from_fn(|route_class| {
+            let class = (account_class, route_class);
+            let is_ahead = |other: &QueuedRequest| {
+                let rank = other.arrival.rank;
+                let is_before_tag = other.start_us <= self.fair_order.start_us(rank, None);
+                let may_be_late = route_class + 1 == RANKS;
+                rank_class(rank) < class
+                    || (rank_class(rank) == class
+                        && (may_be_late || !other.is_late)
+                        && is_before_tag)
+            };
+            let requests_ahead = self.queue.iter().filter(|other| is_ahead(other)).count();
+            u8::try_from(requests_ahead).unwrap_or(u8::MAX)
         })
     }
 
+    /// Number of accounts that the fair order remembers, over all ranks.
+    pub fn remembered_accounts(&self) -> usize {
+        self.fair_order.remembered_accounts()
+    }
+
     /// Moving average of the service time, in milliseconds.
     pub fn service_ms(&self) -> f64 {
         self.service_ms
@@ -162,8 +216,18 @@
         self.state == TargetState::Draining && self.in_flight() == 0
     }
 
-    /// Decides whether a new request runs, is queued or is refused.
+    /// Decides whether a new request without an account runs, is queued or is refused.
     pub fn admit(&mut self, now_ms: u64, arrival: Arrival) -> Decision {
+        self.admit_from(now_ms, arrival, None)
+    }
+
+    /// Decides whether a new request of this account runs, is queued or is refused.
+    pub fn admit_from(
+        &mut self,
+        now_ms: u64,
+        arrival: Arrival,
+        account: Option<Arc<str>>,
+    ) -> Decision {
         match self.state {
             TargetState::Ready => {}
             TargetState::Draining => return Decision::Refuse(ResultCode::TargetDraining),
@@ -181,36 +245,48 @@
         let service_ms = arrival.service_ms.unwrap_or(self.service_ms);
         let goal_left_ms = arrival.goal_ms.saturating_sub(now_ms) as f64;
         let left_ms = (arrival.deadline_ms - now_ms) as f64;
-        let in_time = QueuedRequest { arrival, is_late: false, service_ms };
-        let late = QueuedRequest { arrival, is_late: true, service_ms };
+        let start_us = self.fair_order.start_us(arrival.rank, account.as_deref());
+        let mut request = QueuedRequest { arrival, account, start_us, is_late: false, service_ms };
         let slots = usize::from(self.slots).max(1);
         let is_full = self.queue.len() >= slots * self.queued_per_slot;
-        let request = if self.expected_wait_ms(self.position(&in_time)) + service_ms <= goal_left_ms
-        {
-            in_time
-        } else {
+        let mut displaced = None;
+        if self.expected_wait_ms(self.position(&request)) + service_ms > goal_left_ms {
+            request.is_late = true;
             let late_count = self.queue.iter().filter(|other| other.is_late).count();
             let late_max = (slots * self.queued_per_slot) as f64 * LATE_QUEUE_SHARE;
-            let ends_in_ms = self.expected_wait_ms(self.position(&late)) + service_ms;
-            if late_count as f64 >= late_max || ends_in_ms > left_ms * LATE_TIME_LEFT_SHARE {
+            let ends_in_ms = self.expected_wait_ms(self.position(&request)) + service_ms;
+            if late_count as f64 >= late_max {
+                displaced = displacement::last_of_busier_account(&self.queue, &request);
+            }
+            let has_no_place = late_count as f64 >= late_max && displaced.is_none();
+            if has_no_place || ends_in_ms > left_ms * LATE_TIME_LEFT_SHARE {
                 return Decision::Refuse(ResultCode::TargetFull);
             }
-            late
-        };
+        }
         let wait_ms = self.expected_wait_ms(self.position(&request));
         if arrival.wait_max_ms.is_some_and(|wait_max_ms| wait_ms > wait_max_ms) {
             return Decision::Refuse(ResultCode::TargetFull);
         }
-        let displaced = if is_full {
-            match self.queue.back() {
-                Some(last) if last.sort_key() > request.sort_key() => self.queue.pop_back(),
-                _ => return Decision::Refuse(ResultCode::TargetFull),
+        if is_full && displaced.is_none() {
+            displaced = displacement::displaced_by(&self.queue, &request);
+            if displaced.is_none() {
+                return Decision::Refuse(ResultCode::TargetFull);
             }
-        } else {
-            None
-        };
+        }
+        let decision = displaced.map_or(Decision::Queue, |index| Decision::Displace {
+            ticket: self.queue[index].arrival.ticket,
+        });
+        if let Decision::Displace { ticket } = decision {
+            self.remove(|other| other.arrival.ticket == ticket);
+        }
+        self.fair_order.queue(
+            arrival.rank,
+            request.account.as_ref(),
+            request.start_us,
+            request.cost_us(),
+        );
         self.queue.insert(self.position(&request), request);
-        displaced.map_or(Decision::Queue, |last| Decision::Displace { ticket: last.arrival.ticket })
+        decision
     }
 
     /// Number of queued requests that would run before this one.
@@ -244,11 +320,29 @@
             return (None, expired);
         }
         self.reorder(now_ms);
-        let next = self.queue.pop_front().map(|request| request.arrival.ticket);
-        if next.is_some() {
-            self.running += 1;
+        let Some(first) = self.queue.front() else { return (None, expired) };
+        let (rank, ticket) = (first.arrival.rank, first.arrival.ticket);
+        let flows = self.flows(rank);
+        self.fair_order.run(rank, first.start_us, first.cost_us(), flows);
+        self.queue.pop_front();
+        if !self.has_queued(rank) {
+            self.fair_order.clear(rank);
         }
-        (next, expired)
+        self.running += 1;
+        (Some(ticket), expired)
+    }
+
+    /// The accounts and requests that take turns in this rank.
+    fn flows(&self, rank: u8) -> Flows {
+        let in_rank = || self.queue.iter().filter(|other| other.arrival.rank == rank);
+        let accounts: BTreeSet<&str> =
+            in_rank().filter_map(|other| other.account.as_deref()).collect();
+        let without_account = in_rank().filter(|other| other.account.is_none()).count();
+        Flows { accounts: accounts.len(), without_account }
+    }
+
+    fn has_queued(&self, rank: u8) -> bool {
+        self.queue.iter().any(|other| other.arrival.rank == rank)
     }
 
     /// Marks the requests that became late, and moves them behind the others of their rank.
@@ -257,37 +351,64 @@
             let needed_ms = request.service_ms as u64;
             request.is_late |= now_ms + needed_ms > request.arrival.goal_ms;
         }
+        self.sort();
+    }
+
+    fn sort(&mut self) {
         // The sort is stable, so requests with the same key stay in the order of their arrival.
         self.queue.make_contiguous().sort_by_key(QueuedRequest::sort_key);
     }
 
+    /// Removes the queued requests for which this holds without having run them, and returns their
+    /// tickets.
+    fn remove(&mut self, mut is_removed: impl FnMut(&QueuedRequest) -> bool) -> Vec<u64> {
+        let (removed, kept): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.queue).into_iter().partition(|request| is_removed(request));
+        self.queue = kept.into();
+        for request in &removed {
+            let (rank, cost_us) = (request.arrival.rank, request.cost_us());
+            if let Some(account) = &request.account {
+                self.fair_order.remove(rank, account, cost_us);
+                for other in &mut self.queue {
+                    if other.arrival.rank == rank
+                        && other.account == request.account
+                        && other.start_us > request.start_us
+                    {
+                        other.start_us -= cost_us;
+                    }
+                }
+            }
+            if !self.has_queued(rank) {
+                self.fair_order.clear(rank);
+            }
+        }
+        if removed.iter().any(|request| request.account.is_some()) {
+            self.sort();
+        }
+        removed.iter().map(|request| request.arrival.ticket).collect()
+    }
+
     /// Removes queued requests that are not expected to be answered before their deadline, and
     /// returns their tickets. The caller can refuse them at once, while there is time left to try
     /// another target.
     pub fn expire(&mut self, now_ms: u64) -> Vec<u64> {
         let (slots, mean_ms) = (f64::from(self.slots.max(1)), self.service_ms);
         let mut ahead_ms = 0.0;
-        let mut expired = Vec::new();
-        self.queue.retain(|request| {
+        self.remove(|request| {
             let left_ms = request.arrival.deadline_ms.saturating_sub(now_ms) as f64;
             let needed_ms = request.arrival.service_ms.unwrap_or(0.0) * MIN_TIME_LEFT_SHARE;
             let ends_in_ms = (ahead_ms + mean_ms) / slots + request.service_ms;
             let is_expired = left_ms <= needed_ms
                 || (request.is_late && ends_in_ms > left_ms * LATE_TIME_LEFT_SHARE);
-            if is_expired {
-                expired.push(request.arrival.ticket);
-            } else {
+            if !is_expired {
                 ahead_ms += request.service_ms;
             }
-            !is_expired
-        });
-        expired
+            is_expired
+        })
     }
 
     /// Removes the request of a caller that disconnected. Returns whether it was still queued.
     pub fn cancel(&mut self, ticket: u64) -> bool {
-        let length_before = self.queue.len();
-        self.queue.retain(|request| request.arrival.ticket != ticket);
-        self.queue.len() < length_before
+        !self.remove(|request| request.arrival.ticket == ticket).is_empty()
     }
 }
--- a/crates/core/src/mesh/state.rs
+++ b/crates/core/src/mesh/state.rs
@@ -1,6 +1,6 @@
 //! What a daemon reports to its peers about itself and its target.
 
-use crate::admission::RANKS;
+use crate::admission::{RANKS, rank_class};
 use crate::endpoint::TargetState;
 use crate::mesh::heartbeat::TargetStart;
 use crate::mesh::link_pacer::part_bytes;
@@ -30,9 +30,12 @@
     pub running: u16,
     /// Requests in the queue.
     pub waiting: u16,
-    /// For each rank: the number of queued requests that would run before a new request of that
-    /// rank, if the new request can still meet its latency goal.
+    /// For each priority of routes: the number of queued requests that would run before a new
+    /// request of account priority 0, see [`crate::admission::Admission::ahead`].
     pub ahead: [u8; RANKS],
+    /// The same for the account priorities 1, 2, and 3 or higher. Absent while only requests of
+    /// account priority 0 are queued: all of them run before a request of a higher one.
+    pub ahead_by_account: Option<[[u8; RANKS]; RANKS - 1]>,
     /// The number of requests that the target runs at the same time.
     pub slots: u16,
     /// The smoothed service time of requests, in milliseconds.
@@ -50,8 +53,13 @@
     /// The number of requests that occupy slots, plus those that would run before a new one of this
     /// rank.
     pub fn ahead_of(&self, rank: u8) -> u16 {
-        let waiting = self.ahead[usize::from(rank).min(RANKS - 1)];
-        self.running.saturating_add(waiting.into())
+        let (account_class, route_class) = rank_class(rank);
+        let waiting = match (account_class, &self.ahead_by_account) {
+            (0, _) => self.ahead[route_class].into(),
+            (_, Some(ahead)) => ahead[account_class - 1][route_class].into(),
+            (_, None) => self.waiting,
+        };
+        self.running.saturating_add(waiting)
     }
 
     /// Whether a body of this size must be offered before it is sent, because it would occupy the
--- a/crates/daemon/src/mesh/inbound.rs
+++ b/crates/daemon/src/mesh/inbound.rs
@@ -110,6 +110,7 @@
             running: admission.running(),
             waiting: admission.waiting(),
             ahead: admission.ahead(),
+            ahead_by_account: admission.ahead_by_account(),
             slots: admission.slots(),
             service_ms: service_ms as f32,
             failed_permille: (state.failed_share_at(now_ms) * 1_000.0) as u16,
@@ -350,10 +351,11 @@
     log_with(Event::DoorRefused, || {
         let load = mesh.target_load();
         format!(
-            "request={} target={} code={code} rank={} running={} waiting={} slots={} \
+            "request={} target={} code={code} account={} rank={} running={} waiting={} slots={} \
              service_ms={:.0} usual_ms={:?} goal_ms={} left_ms={} wait_max_ms={:?}",
             request_id(&inbound.request),
             inbound.request.instance,
+            inbound.terms.account.as_deref().unwrap_or("none"),
             inbound.terms.rank,
             load.running,
             load.waiting,
@@ -420,7 +422,8 @@
         let rank = inbound.terms.rank;
         let wait_max_ms = inbound.terms.wait_max_ms.map(f64::from);
         let arrival = Arrival { ticket, deadline_ms, goal_ms, rank, service_ms, wait_max_ms };
-        match state.admission.admit(now_ms, arrival) {
+        let account = inbound.terms.account.clone();
+        match state.admission.admit_from(now_ms, arrival, account) {
             Decision::Run => return Ok(SlotGuard { mesh, started_ms: now_ms, is_measured: false }),
             Decision::Refuse(code) => return Err(code),
             Decision::Queue => {}
