Load patterns for the surge of one account

`account-surge` has one rank, `account-surge-ranks` the two ranks of the other patterns. The policy `arrival-order` switches the fair order off.

--- a/crates/standins/examples/patterns.rs
+++ b/crates/standins/examples/patterns.rs
@@ -1,7 +1,8 @@
-//! Replays every load pattern with every policy and prints the results as a table.
+//! Replays every load pattern with every policy and prints the results as a table. For patterns with
+//! client accounts, a second table has the served share of each account, with and without fair order.
 
 use argh::FromArgs;
-use pomeloreach_standins::replay::{Policy, Results, patterns, replay};
+use pomeloreach_standins::replay::{AccountResults, Pattern, Policy, Results, patterns, replay};
 use strum::IntoEnumIterator;
 
 /// How often each pattern is replayed, each time with another seed.
@@ -28,6 +29,10 @@
     println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
     for pattern in patterns().into_iter().filter(|found| found.name.starts_with(&options.pattern)) {
         for policy in Policy::iter().filter(|found| options.policy.is_none_or(|p| p == *found)) {
+            if policy == Policy::ArrivalOrder && pattern.accounts == 0 {
+                // Without accounts, the fair order is the order of arrival.
+                continue;
+            }
             let runs: Vec<Results> =
                 (0..SEEDS).map(|seed| replay(&pattern, policy, seed)).collect();
             let mean =
@@ -54,4 +59,45 @@
             );
         }
     }
+    for pattern in patterns().iter().filter(|found| found.name.starts_with(&options.pattern)) {
+        if pattern.accounts > 0 {
+            print_accounts(pattern);
+        }
+    }
+}
+
+/// Prints the served share of each account during the disturbance, summed over the seeds.
+fn print_accounts(pattern: &Pattern) {
+    let sums_with = |policy| -> Vec<AccountResults> {
+        let runs: Vec<Results> = (0..SEEDS).map(|seed| replay(pattern, policy, seed)).collect();
+        let sum = |account: usize| runs.iter().map(|run| run.by_account[account]).sum();
+        (0..pattern.accounts).map(sum).collect()
+    };
+    let (fair, arrival) = (sums_with(Policy::Placer), sums_with(Policy::ArrivalOrder));
+    println!();
+    println!(
+        "| {}: account | Requests | Served, {} | In time, {} | Served, {} | In time, {} |",
+        pattern.name,
+        Policy::Placer,
+        Policy::Placer,
+        Policy::ArrivalOrder,
+        Policy::ArrivalOrder
+    );
+    println!("|---|---|---|---|---|---|");
+    let print = |name: &str, fair: AccountResults, arrival: AccountResults| {
+        println!(
+            "| {name} | {} | {:.1} | {:.1} | {:.1} | {:.1} |",
+            fair.requests,
+            100.0 * fair.served_share(),
+            100.0 * fair.in_time_share(),
+            100.0 * arrival.served_share(),
+            100.0 * arrival.in_time_share()
+        );
+    };
+    for (index, (fair, arrival)) in fair.iter().zip(&arrival).enumerate() {
+        print(&(index + 1).to_string(), *fair, *arrival);
+    }
+    let sum = |results: &[AccountResults]| results.iter().copied().sum();
+    print("all but 1", sum(&fair[1..]), sum(&arrival[1..]));
+    print("all", sum(&fair), sum(&arrival));
 }
--- a/crates/standins/src/replay/callers.rs
+++ b/crates/standins/src/replay/callers.rs
@@ -2,8 +2,8 @@
 
 use super::pattern::{Disturbance, RequestKind};
 use super::policy::Policy;
-use super::results::{LATE_VALUE_SHARE, value_of};
-use super::{Event, Simulation, WARM_UP_MS, ZONES_PER_REGION};
+use super::results::{AccountResults, LATE_VALUE_SHARE, value_of};
+use super::{Event, SentRequest, Simulation, WARM_UP_MS, ZONES_PER_REGION};
 use pomeloreach_core::mesh::attempts::{AttemptResult, Attempts, NextAction, RetryPolicy};
 use pomeloreach_core::mesh::placer::Placement;
 use pomeloreach_core::mesh::retry_after::{self, RefusedRequest};
@@ -14,6 +14,8 @@
     pub(super) kind: RequestKind,
     /// The index of the kind in the pattern.
     pub(super) kind_index: usize,
+    /// The account of the caller by its place by size, from 0.
+    pub(super) account: Option<usize>,
     /// The daemon that the caller sends the request to.
     pub(super) origin: usize,
     pub(super) sent_ms: u64,
@@ -38,11 +40,17 @@
             pattern.kinds.iter().map(|kind| kind.share * kind.mean_work_ms).sum();
         let speeds: f64 = self.daemons.iter().map(|daemon| daemon.speed).sum();
         let per_ms = pattern.load * speeds * f64::from(pattern.slots) / mean_work_ms;
+        let account_shares = pattern.account_shares();
         let mut at_ms = 0.0;
         while at_ms < pattern.end_ms as f64 {
             let is_disturbed = self.is_disturbed(at_ms as u64);
+            let surge = match pattern.disturbance {
+                Disturbance::AccountSurge(factor) if is_disturbed => factor,
+                _ => 1.0,
+            };
             let factor = match pattern.disturbance {
                 Disturbance::Burst(factor) if is_disturbed => factor,
+                Disturbance::AccountSurge(_) => 1.0 + account_shares[0] * (surge - 1.0),
                 _ => 1.0,
             };
             // The factor keeps the argument of `ln` above 0.
@@ -69,12 +77,39 @@
                 Disturbance::Impatient(retries) if is_disturbed => retries,
                 _ => 1,
             };
+            let account = self.draw_account(&account_shares, surge);
             let first_sent_ms = at_ms as u64;
-            self.schedule(
-                first_sent_ms,
-                Event::RequestSent { origin, kind, first_sent_ms, retries_left },
-            );
+            let sent = SentRequest { origin, kind, account, first_sent_ms, retries_left };
+            self.schedule(first_sent_ms, Event::RequestSent(sent));
+        }
+    }
+
+    /// Draws an account by its share of the requests; that of the largest is multiplied by `surge`.
+    /// Draws nothing if there are no accounts.
+    fn draw_account(&mut self, shares: &[f64], surge: f64) -> Option<usize> {
+        let (largest, last) = (*shares.first()?, shares.len() - 1);
+        let mut draw = self.random() * (1.0 + largest * (surge - 1.0)) - largest * surge;
+        if draw < 0.0 {
+            return Some(0);
         }
+        for (account, share) in shares.iter().enumerate().skip(1) {
+            draw -= share;
+            if draw < 0.0 {
+                return Some(account);
+            }
+        }
+        Some(last)
+    }
+
+    /// The results of the account of a request, if the request was first sent during the
+    /// disturbance.
+    fn account_results(
+        &mut self,
+        account: Option<usize>,
+        first_sent_ms: u64,
+    ) -> Option<&mut AccountResults> {
+        let is_disturbed = self.is_disturbed(first_sent_ms);
+        account.filter(|_| is_disturbed).map(|account| &mut self.results.by_account[account])
     }
 
     /// Draws a lognormal factor with a mean of one. The sum of twelve uniform numbers is nearly normal.
@@ -85,19 +120,17 @@
     }
 
     /// Starts a request, or a caller's retry, at its origin. Only the first send counts as a request.
-    pub(super) fn start_request(
-        &mut self,
-        origin: usize,
-        kind_index: usize,
-        first_sent_ms: u64,
-        retries_left: u32,
-    ) {
+    pub(super) fn start_request(&mut self, sent: SentRequest) {
+        let SentRequest { origin, kind: kind_index, account, first_sent_ms, retries_left } = sent;
         let kind = self.pattern.kinds[kind_index];
         let deadline_ms = first_sent_ms + kind.deadline_ms;
         if first_sent_ms == self.now_ms && first_sent_ms >= WARM_UP_MS {
             self.results.requests += 1;
             self.results.by_rank.entry(kind.rank).or_default().1 += 1;
             self.results.value_max += value_of(kind);
+            if let Some(results) = self.account_results(account, first_sent_ms) {
+                results.requests += 1;
+            }
         }
         let retry_policy =
             RetryPolicy { is_idempotent: kind.is_idempotent, attempts_max: 2, deadline_ms };
@@ -105,6 +138,7 @@
         self.requests.push(Request {
             kind,
             kind_index,
+            account,
             origin,
             sent_ms: self.now_ms,
             first_sent_ms,
@@ -184,18 +218,26 @@
         if std::mem::replace(&mut state.is_done, true) || state.first_sent_ms < WARM_UP_MS {
             return;
         }
-        let took_ms = now_ms - state.first_sent_ms;
-        if !is_success || took_ms > state.kind.deadline_ms {
+        let (account, first_sent_ms) = (state.account, state.first_sent_ms);
+        let took_ms = now_ms - first_sent_ms;
+        let kind = state.kind;
+        if !is_success || took_ms > kind.deadline_ms {
             self.results.failed += 1;
-        } else if took_ms > state.kind.goal_ms {
-            self.results.late += 1;
-            self.results.value_earned += LATE_VALUE_SHARE * value_of(state.kind);
-            self.results.latencies_ms.push(took_ms);
-        } else {
+            return;
+        }
+        let is_in_time = took_ms <= kind.goal_ms;
+        if is_in_time {
             self.results.in_time += 1;
-            self.results.value_earned += value_of(state.kind);
-            self.results.latencies_ms.push(took_ms);
-            self.results.by_rank.entry(state.kind.rank).or_default().0 += 1;
+            self.results.value_earned += value_of(kind);
+            self.results.by_rank.entry(kind.rank).or_default().0 += 1;
+        } else {
+            self.results.late += 1;
+            self.results.value_earned += LATE_VALUE_SHARE * value_of(kind);
+        }
+        self.results.latencies_ms.push(took_ms);
+        if let Some(results) = self.account_results(account, first_sent_ms) {
+            results.served += 1;
+            results.in_time += u64::from(is_in_time);
         }
     }
 
@@ -215,8 +257,8 @@
             random,
         };
         let pause_ms = retry_after::retry_after_ms(refused);
-        let (origin, first_sent_ms, retries_left) =
-            (state.origin, state.first_sent_ms, state.retries_left);
+        let (origin, account) = (state.origin, state.account);
+        let (first_sent_ms, retries_left) = (state.first_sent_ms, state.retries_left);
         if first_sent_ms >= WARM_UP_MS && now_ms > state.sent_ms + state.kind.goal_ms / 8 {
             self.results.refused_late += 1;
         }
@@ -225,10 +267,10 @@
         if retries_left > 0 && pause_ms < state.attempts.left_ms(now_ms) {
             let retries_left = retries_left - 1;
             let resent =
-                Event::RequestSent { origin, kind: kind_index, first_sent_ms, retries_left };
+                SentRequest { origin, kind: kind_index, account, first_sent_ms, retries_left };
             // At least 1 ms later: `start_request` counts a request as new if it is first sent at the
             // current time.
-            self.schedule(now_ms + pause_ms.max(1), resent);
+            self.schedule(now_ms + pause_ms.max(1), Event::RequestSent(resent));
         } else if first_sent_ms >= WARM_UP_MS {
             self.results.refused += 1;
         }
--- a/crates/standins/src/replay/mod.rs
+++ b/crates/standins/src/replay/mod.rs
@@ -14,7 +14,7 @@
 
 pub use pattern::{Disturbance, Pattern, RequestKind, patterns};
 pub use policy::Policy;
-pub use results::Results;
+pub use results::{AccountResults, Results};
 
 use callers::Request;
 use pomeloreach_core::admission::Admission;
@@ -41,7 +41,7 @@
 /// one whose target the attempt goes to.
 enum Event {
     /// A caller sends a request to its origin.
-    RequestSent { origin: usize, kind: usize, first_sent_ms: u64, retries_left: u32 },
+    RequestSent(SentRequest),
     /// An attempt arrives at the inbound proxy of the target's daemon.
     AttemptArrived { request: usize, daemon: usize, wait_max_ms: Option<u32> },
     /// A target finishes a request.
@@ -59,6 +59,17 @@
     LoadReport { from: usize },
 }
 
+/// A send of a request by its caller.
+#[derive(Clone, Copy)]
+struct SentRequest {
+    origin: usize,
+    kind: usize,
+    /// The account of the caller by its place by size, from 0.
+    account: Option<usize>,
+    first_sent_ms: u64,
+    retries_left: u32,
+}
+
 /// The state of a replay.
 struct Simulation<'a> {
     pattern: &'a Pattern,
@@ -127,7 +138,10 @@
             next_event: 0,
             round_robin_index: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
-            results: Results::default(),
+            results: Results {
+                by_account: vec![AccountResults::default(); pattern.accounts],
+                ..Results::default()
+            },
             now_ms: 0,
         };
         for from in 0..pattern.targets {
@@ -178,9 +192,7 @@
                 self.set_targets_lapsed(share, has_lapsed);
             }
             match event {
-                Event::RequestSent { origin, kind, first_sent_ms, retries_left } => {
-                    self.start_request(origin, kind, first_sent_ms, retries_left);
-                }
+                Event::RequestSent(sent) => self.start_request(sent),
                 Event::AttemptArrived { request, daemon, wait_max_ms } => {
                     self.admit_attempt(request, daemon, wait_max_ms);
                 }
--- a/crates/standins/src/replay/pattern.rs
+++ b/crates/standins/src/replay/pattern.rs
@@ -37,6 +37,8 @@
     /// Refused callers retry after 5 ms instead of the suggested pause, and those that come during the
     /// disturbance retry up to this many times.
     Impatient(u32),
+    /// The request rate of the largest account is multiplied by this factor.
+    AccountSurge(f64),
 }
 
 /// A load to replay, and the targets that serve it.
@@ -50,6 +52,9 @@
     /// The load as a share of the capacity of all targets.
     pub load: f64,
     pub kinds: Vec<RequestKind>,
+    /// The number of client accounts; 0 if requests have no account. The rate of an account falls
+    /// with its place by size to the power of [`ACCOUNT_SIZE_EXPONENT`].
+    pub accounts: usize,
     pub disturbance: Disturbance,
     /// When the disturbance begins and ends, and when the last requests are sent, in milliseconds.
     pub disturbed_from_ms: u64,
@@ -57,6 +62,19 @@
     pub end_ms: u64,
 }
 
+/// How fast the sizes of accounts fall; see `docs/design/accounts-and-limits.md`.
+const ACCOUNT_SIZE_EXPONENT: f64 = 1.2;
+
+impl Pattern {
+    /// Returns the share of the requests of each account, the largest first.
+    pub(super) fn account_shares(&self) -> Vec<f64> {
+        let sizes: Vec<f64> =
+            (1..=self.accounts).map(|place| (place as f64).powf(-ACCOUNT_SIZE_EXPONENT)).collect();
+        let total: f64 = sizes.iter().sum();
+        sizes.into_iter().map(|size| size / total).collect()
+    }
+}
+
 /// Returns the load patterns that the placer, the admission queues and the retry times of refused
 /// callers are designed for.
 pub fn patterns() -> Vec<Pattern> {
@@ -83,12 +101,14 @@
         slots: 6,
         load: 0.65,
         kinds: vec![lookup, order],
+        accounts: 0,
         disturbance: Disturbance::None,
         disturbed_from_ms: 8_000,
         disturbed_until_ms: 14_000,
         end_ms: 20_000,
     };
     let with = |name, load, disturbance| Pattern { name, load, disturbance, ..base.clone() };
+    let surge = |name| Pattern { accounts: 71, ..with(name, 0.85, Disturbance::AccountSurge(7.5)) };
     vec![
         base.clone(),
         with("burst", 0.65, Disturbance::Burst(1.7)),
@@ -99,5 +119,7 @@
         with("herd", 0.7, Disturbance::Lost(0.55)),
         with("overload", 1.3, Disturbance::None),
         with("impatient", 1.1, Disturbance::Impatient(3)),
+        Pattern { kinds: vec![RequestKind { share: 1.0, ..lookup }], ..surge("account-surge") },
+        surge("account-surge-ranks"),
     ]
 }
--- a/crates/standins/src/replay/policy.rs
+++ b/crates/standins/src/replay/policy.rs
@@ -16,6 +16,9 @@
     /// The placer, but the target's daemon doesn't refuse a request because another target has become
     /// the better choice.
     PlacerWithoutBounce,
+    /// The placer, but the target's daemon queues requests in the order of their arrival instead of the
+    /// fair order between accounts.
+    ArrivalOrder,
     /// A random target, with the daemon's admission queue.
     Random,
     /// Targets in turn, with the daemon's admission queue.
@@ -26,6 +29,12 @@
     NoGuard,
 }
 
+impl Policy {
+    fn uses_placer(self) -> bool {
+        matches!(self, Self::Placer | Self::PlacerWithoutBounce | Self::ArrivalOrder)
+    }
+}
+
 impl Simulation<'_> {
     /// Chooses a target by the policy.
     pub(super) fn choose_target(&mut self, request: usize) -> Placement {
@@ -35,7 +44,7 @@
         let left_ms = self.requests[request].attempts.left_ms(self.now_ms);
         let origin_state = self.daemon_state(origin);
         let origin_target = origin_state.target.as_ref();
-        if matches!(self.policy, Policy::Placer | Policy::PlacerWithoutBounce) {
+        if self.policy.uses_placer() {
             let query = PlacementQuery {
                 service: "s",
                 tried_daemons: &tried,
--- a/crates/standins/src/replay/results.rs
+++ b/crates/standins/src/replay/results.rs
@@ -2,6 +2,7 @@
 
 use super::pattern::RequestKind;
 use std::collections::BTreeMap;
+use std::iter::Sum;
 
 /// The results of a replay. The counts are of requests, except `refused_late` (refusals) and
 /// `inbound_arrivals` and `cross_region` (attempts).
@@ -25,6 +26,8 @@
     pub cross_region: u64,
     /// For each rank, the responses in time and all requests.
     pub by_rank: BTreeMap<u8, (u64, u64)>,
+    /// For each account, the largest first: the requests first sent during the disturbance.
+    pub by_account: Vec<AccountResults>,
     /// The value of the responses, and the value if all had been in time: an order counts twice as much
     /// as a lookup, a late response three tenths.
     pub value_earned: f64,
@@ -33,6 +36,38 @@
     pub(super) latencies_ms: Vec<u64>,
 }
 
+/// The requests of one account.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AccountResults {
+    pub requests: u64,
+    /// Successful responses before the deadline.
+    pub served: u64,
+    /// Successful responses within the latency goal.
+    pub in_time: u64,
+}
+
+impl AccountResults {
+    /// Returns the share of the requests that were served.
+    pub fn served_share(&self) -> f64 {
+        self.served as f64 / self.requests.max(1) as f64
+    }
+
+    /// Returns the share of the requests that were in time.
+    pub fn in_time_share(&self) -> f64 {
+        self.in_time as f64 / self.requests.max(1) as f64
+    }
+}
+
+impl Sum for AccountResults {
+    fn sum<I: Iterator<Item = Self>>(results: I) -> Self {
+        results.fold(Self::default(), |sum, result| Self {
+            requests: sum.requests + result.requests,
+            served: sum.served + result.served,
+            in_time: sum.in_time + result.in_time,
+        })
+    }
+}
+
 impl Results {
     /// Returns the share of the requests that were in time.
     pub fn in_time_share(&self) -> f64 {
--- a/crates/standins/src/replay/targets.rs
+++ b/crates/standins/src/replay/targets.rs
@@ -47,6 +47,7 @@
             running: inbound.running(),
             waiting: inbound.waiting(),
             ahead: inbound.ahead(),
+            ahead_by_account: inbound.ahead_by_account(),
             slots: inbound.slots(),
             service_ms: inbound.service_ms() as f32,
             failed_permille: (failed_share * 1_000.0) as u16,
@@ -100,7 +101,10 @@
             },
             wait_max_ms: wait_max_ms.map(f64::from),
         };
-        match self.daemons[daemon].inbound.admit(self.now_ms, arrival) {
+        let is_fair = matches!(self.policy, Policy::Placer | Policy::PlacerWithoutBounce);
+        let account = self.requests[request].account.filter(|_| is_fair);
+        let account = account.map(|account| format!("a{account}").into());
+        match self.daemons[daemon].inbound.admit_from(self.now_ms, arrival, account) {
             Decision::Run => self.forward(request, daemon),
             Decision::Queue => {}
             Decision::Displace { ticket } => {
--- a/crates/standins/tests/load_patterns.rs
+++ b/crates/standins/tests/load_patterns.rs
@@ -1,7 +1,7 @@
 //! Replays load patterns with the placer and with baseline policies, on the same arrivals. Orders
 //! are the requests that are not idempotent.
 
-use pomeloreach_standins::replay::{Pattern, Policy, Results, patterns, replay};
+use pomeloreach_standins::replay::{AccountResults, Pattern, Policy, Results, patterns, replay};
 
 const SEED: u64 = 7;
 
@@ -82,3 +82,43 @@
     let results = results_of(name, Policy::Placer);
     assert!(results.rank_in_time_share(1) > 0.98, "{}", results.rank_in_time_share(1));
 }
+
+/// The results of all accounts but the one that surges.
+fn other_accounts(results: &Results) -> AccountResults {
+    results.by_account[1..].iter().copied().sum()
+}
+
+/// The other accounts want 0.60 of the capacity, so there is room for them beside any surge. Guards
+/// against a surge that takes the room of other accounts, as it does in the order of arrival.
+#[test]
+fn surge_leaves_others_in_time() {
+    let fair = other_accounts(&results_of("account-surge", Policy::Placer));
+    let arrival_order = other_accounts(&results_of("account-surge", Policy::ArrivalOrder));
+    assert!(fair.in_time_share() > 0.95, "{}", fair.in_time_share());
+    assert!(arrival_order.in_time_share() < 0.5, "{}", arrival_order.in_time_share());
+}
+
+/// With two ranks, the orders of the account that surges run before the lookups of the others, and
+/// the fair order only divides the rest.
+#[test]
+fn surge_with_ranks_serves_others_more() {
+    let fair = other_accounts(&results_of("account-surge-ranks", Policy::Placer)).served_share();
+    let arrival_order =
+        other_accounts(&results_of("account-surge-ranks", Policy::ArrivalOrder)).served_share();
+    assert!(fair > 1.25 * arrival_order, "{fair} in fair order, {arrival_order} without");
+}
+
+/// Guards against an account that is served less than a quarter as often as all together, which the
+/// page on accounts excludes. This also holds for the one that surges.
+#[yare::parameterized(
+    one_rank = { "account-surge" },
+    two_ranks = { "account-surge-ranks" },
+)]
+fn every_account_is_served(name: &str) {
+    let results = results_of(name, Policy::Placer);
+    let all: AccountResults = results.by_account.iter().copied().sum();
+    for (account, own) in results.by_account.iter().enumerate() {
+        let (own, all) = (own.served_share(), all.served_share());
+        assert!(own >= all / 4.0, "account {}: {own}, all {all}", account + 1);
+    }
+}
