--- a/crates/core/src/displacement.rs
+++ b/crates/core/src/displacement.rs
@@ -66,7 +66,7 @@
     let by_work = in_rank().map(|(index, other)| (work.of_flow(other), index));
     let (_, busiest) = by_work.max()?;
     let account = &queue[busiest].account;
-    in_rank().filter(|(_, other)| other.account == *account).map(|(index, _)| index).last()
+    in_rank().rfind(|(_, other)| other.account == *account).map(|(index, _)| index)
 }
 
 /// The queued work of each account in a rank, in microseconds of expected service time.
