--- a/crates/core/tests/mesh_placement.rs
+++ b/crates/core/tests/mesh_placement.rs
@@ -1,5 +1,6 @@
 //! Which target the placer chooses under high load, failures and departures.
 
+use pomeloreach_core::account::combined_rank;
 use pomeloreach_core::endpoint::TargetState;
 use pomeloreach_core::mesh::peers::Peers;
 use pomeloreach_core::mesh::placer::{Placement, PlacementQuery, choose};
@@ -172,6 +173,32 @@
     assert_eq!(chosen(&peers, None, &same_rank), "full");
 }
 
+/// Guards against load reports that mix up the priorities of accounts and routes: a request of an
+/// account of priority 0 is not delayed by the queue of priority 1, whatever its route's priority.
+#[test]
+fn account_priority_skips_queue() {
+    let later_accounts = TargetLoad {
+        running: SLOTS,
+        waiting: 12,
+        ahead: [0; 4],
+        ahead_by_account: Some([[0, 0, 12, 12], [12; 4], [12; 4]]),
+        ..load(SLOTS, 300.0)
+    };
+    let peers = fleet([later_accounts; 3]);
+    let tried_daemons = BTreeSet::new();
+    let query_of = |account_priority, route_priority| PlacementQuery {
+        goal_left_ms: 150,
+        left_ms: 450,
+        service_ms: Some(40.0),
+        rank: combined_rank(account_priority, route_priority),
+        ..query(&tried_daemons)
+    };
+    assert_eq!(chosen(&peers, None, &query_of(0, 9)), "zone");
+    assert_eq!(chosen(&peers, None, &query_of(1, 1)), "zone");
+    assert_eq!(chosen(&peers, None, &query_of(1, 2)), "full");
+    assert_eq!(chosen(&peers, None, &query_of(2, 0)), "full");
+}
+
 /// Daemons with the same load reports do not all choose the same target.
 #[test]
 fn equal_loads_are_spread() {
