--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -276,16 +276,13 @@
         let decision = displaced.map_or(Decision::Queue, |index| Decision::Displace {
             ticket: self.queue[index].arrival.ticket,
         });
+        let cost_us = request.cost_us();
+        self.fair_order.queue(arrival.rank, request.account.as_ref(), start_us, cost_us);
+        self.queue.insert(self.position(&request), request);
+        // Removed only now: a rank without queued requests would lose its virtual time.
         if let Decision::Displace { ticket } = decision {
             self.remove(|other| other.arrival.ticket == ticket);
         }
-        self.fair_order.queue(
-            arrival.rank,
-            request.account.as_ref(),
-            request.start_us,
-            request.cost_us(),
-        );
-        self.queue.insert(self.position(&request), request);
         decision
     }
 
--- a/crates/core/tests/fair_queue.rs
+++ b/crates/core/tests/fair_queue.rs
@@ -240,6 +240,27 @@
     assert_eq!(compact.ahead_of(combined_rank(1, 0)), 7, "all are of account priority 0");
 }
 
+/// Guards against a virtual time that is reset between the arrival of a request and its place in the
+/// queue: the only other request of its rank is displaced by it.
+#[test]
+fn displacing_the_only_one_keeps_order() {
+    let mut admission = busy_admission();
+    queue(&mut admission, 1, 2, "account");
+    let late = Arrival { goal_ms: 60, ..arrival(11, RANK, SERVICE_MS) };
+    assert_eq!(admission.admit(0, late), Decision::Queue);
+    for ticket in 1..=2 {
+        assert_eq!(admission.finish(0, SERVICE_MS).0, Some(ticket));
+    }
+    for ticket in 21..21 + PLACES - 1 {
+        assert_eq!(admission.admit(0, arrival(ticket, 0, SERVICE_MS)), Decision::Queue);
+    }
+    let first = arrival(12, RANK, SERVICE_MS);
+    assert_eq!(admission.admit(0, first), Decision::Displace { ticket: 11 });
+    admission.finish(0, SERVICE_MS);
+    assert_eq!(admission.admit(0, arrival(13, RANK, SERVICE_MS)), Decision::Queue);
+    assert_eq!(run_order(admission), [22, 23, 24, 25, 26, 27, 12, 13]);
+}
+
 /// Guards against a request that is removed without having run counting as service of its account.
 #[test]
 fn removed_request_costs_nothing() {
