--- a/crates/core/src/check.rs
+++ b/crates/core/src/check.rs
@@ -27,6 +27,10 @@
 /// Longest slow start of a target, in milliseconds.
 pub const SLOW_START_MS_MAX: u32 = 600_000;
 
+/// Why a route with `public: true` is refused in the tables of our own deployment.
+pub const PUBLIC_ROUTE_REASON: &str =
+    "public must not be true, because these tables have no client accounts";
+
 /// Checks that every row is within bounds, and that the tables are consistent.
 pub fn check_tables(tables: &Tables) -> Result<(), Refusal> {
     check_row_count("routes", tables.routes.len())?;
@@ -72,6 +76,9 @@
 fn check_route(name: &str, route: &Route) -> Result<(), Refusal> {
     let label = format!("route '{name}'");
     check_name(&label, "its name", name)?;
+    if route.is_public {
+        return Err(out_of_bounds(format!("{label}: {PUBLIC_ROUTE_REASON}")));
+    }
     check_name(&label, "host", &route.host)?;
     check_name(&label, "pool", &route.pool)?;
     check_set_size(&label, "methods", route.methods.len())?;
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -42,6 +42,8 @@
     VersionRowChanged = 1107,
     VersionEditRepeated = 1108,
     VersionRowRepeated = 1109,
+    /// Two client accounts have the same API key.
+    VersionKeyShared = 1110,
     Answered = 2000,
     NoRoute = 2001,
     NoTarget = 2002,
@@ -57,7 +59,8 @@
     WrongInstance = 2009,
     TargetUnreachable = 2010,
     DaemonNotReady = 2011,
-    /// No route of the version in force matches, and a newer version exists, which may have one.
+    /// No route of the version in force matches, or no account has the API key of the request, and a
+    /// newer version exists, which may have one.
     ConfigOutdated = 2012,
     /// The route needs the API key of a client account, and the request has none or an unknown one.
     KeyRefused = 2013,
@@ -133,7 +136,8 @@
             | Self::VersionTooLarge
             | Self::VersionRowChanged
             | Self::VersionEditRepeated
-            | Self::VersionRowRepeated => 422,
+            | Self::VersionRowRepeated
+            | Self::VersionKeyShared => 422,
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod accepting;
 pub mod account;
+pub mod account_index;
 pub mod admission;
 pub mod api;
 pub mod attempt;
--- a/crates/core/src/mesh/published.rs
+++ b/crates/core/src/mesh/published.rs
@@ -1,6 +1,7 @@
 //! The configuration as it is published in the store.
 
 use crate::account::Account;
+use crate::account_index::AccountIndex;
 use crate::check::check_consistency;
 use crate::code::ResultCode;
 use crate::config::{Config, Refusal, Row, Tables};
@@ -78,6 +79,15 @@
         Ok(RouteTable::new(&Config { version: self.version, tables, edits, refusals }))
     }
 
+    /// Builds the index of the accounts by the digests of their keys.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal of the whole version if two accounts have the same key.
+    pub fn account_index(&self) -> Result<AccountIndex, Refusal> {
+        AccountIndex::new(&self.accounts)
+    }
+
     /// The services of all pools that a route refers to.
     pub fn routed_services(&self) -> BTreeSet<Arc<str>> {
         let pools = self
--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -4,6 +4,7 @@
 use crate::logging::log_event;
 use bytes::Bytes;
 use event_listener::Event as Notify;
+use pomeloreach_core::account_index::AccountIndex;
 use pomeloreach_core::event::Event;
 use pomeloreach_core::matching::RouteTable;
 use pomeloreach_core::mesh::delta::Delta;
@@ -54,6 +55,7 @@
 struct ConfigInForce {
     published: PublishedConfig,
     routes: Rc<RouteTable>,
+    accounts: Rc<AccountIndex>,
     digest: String,
     /// The last encoded delta, with the version that it applies to.
     cached_delta: RefCell<Option<(u64, Bytes)>>,
@@ -99,6 +101,12 @@
         self.in_force.borrow().as_ref().map(|in_force| in_force.routes.clone())
     }
 
+    /// The client accounts; none without a configuration.
+    pub fn accounts(&self) -> Rc<AccountIndex> {
+        let in_force = self.in_force.borrow();
+        in_force.as_ref().map(|in_force| in_force.accounts.clone()).unwrap_or_default()
+    }
+
     pub fn limits(&self) -> CallerLimits {
         let in_force = self.in_force.borrow();
         in_force.as_ref().map(|in_force| in_force.published.limits).unwrap_or_default()
@@ -191,8 +199,10 @@
     if version <= version_in_force || version == config.refused_version.get() {
         return;
     }
-    let routes = match published.route_table() {
-        Ok(routes) => routes,
+    let checked =
+        published.route_table().and_then(|routes| Ok((routes, published.account_index()?)));
+    let (routes, accounts) = match checked {
+        Ok(checked) => checked,
         Err(refusal) => {
             return refuse(mesh, version, source, &refusal);
         }
@@ -203,9 +213,12 @@
     let empty = PublishedConfig::default();
     let replaced = in_force.as_ref().map_or(&empty, |in_force| &in_force.published);
     config.history.borrow_mut().record(replaced, &published);
+    let withdrawn = replaced.accounts.keys().filter(|name| !published.accounts.contains_key(*name));
+    mesh.metrics.remove_accounts(withdrawn);
     let digest = published.digest();
     let cached_delta = RefCell::default();
-    *in_force = Some(ConfigInForce { published, routes: Rc::new(routes), digest, cached_delta });
+    let (routes, accounts) = (Rc::new(routes), Rc::new(accounts));
+    *in_force = Some(ConfigInForce { published, routes, accounts, digest, cached_delta });
     drop(in_force);
     // A confirmation of the previous version does not apply to this one.
     config.confirmed_ms.set(None);
--- a/crates/daemon/src/mesh/metrics.rs
+++ b/crates/daemon/src/mesh/metrics.rs
@@ -3,6 +3,7 @@
 //! The `cadence` crate sends metrics over UDP, which a platform without a statsd server cannot
 //! receive. These metrics are fetched over HTTP instead.
 
+use pomeloreach_core::account_index::KeyProblem;
 use pomeloreach_core::code::ResultCode;
 use pomeloreach_core::mesh::dissemination::Distance;
 use prometheus_client::encoding::{EncodeLabelSet, text};
@@ -11,6 +12,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
+use std::sync::Arc;
 
 /// The upper bounds of the histograms' buckets, in seconds: from a call within a VM to the longest
 /// deadline in use.
@@ -22,6 +24,18 @@
     code: String,
 }
 
+/// The label of the counters of client accounts.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AccountLabels {
+    account: Arc<str>,
+}
+
+/// The label of the counter of requests without a valid key.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KeyLabels {
+    reason: String,
+}
+
 /// The labels of the counters of link traffic.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct LinkLabels {
@@ -35,6 +49,8 @@
 pub struct Metrics {
     registry: Registry,
     requests: Family<ResultLabels, Counter>,
+    account_requests: Family<AccountLabels, Counter>,
+    key_refusals: Family<KeyLabels, Counter>,
     attempts: Counter,
     retries: Counter,
     inbound_refusals: Family<ResultLabels, Counter>,
@@ -68,6 +84,8 @@
         let metrics = Self {
             registry: Registry::default(),
             requests: Family::default(),
+            account_requests: Family::default(),
+            key_refusals: Family::default(),
             attempts: Counter::default(),
             retries: Counter::default(),
             inbound_refusals: Family::default(),
@@ -85,6 +103,16 @@
             link_bytes: Family::default(),
         };
         registry.register("requests", "Requests of callers, by result", metrics.requests.clone());
+        registry.register(
+            "account_requests",
+            "Requests of callers with the key of an account, by account",
+            metrics.account_requests.clone(),
+        );
+        registry.register(
+            "key_refusals",
+            "Requests that were refused because their key is missing or unknown, by reason",
+            metrics.key_refusals.clone(),
+        );
         registry.register("attempts", "Attempts at targets", metrics.attempts.clone());
         registry.register("retries", "Attempts paid by the retry budget", metrics.retries.clone());
         registry.register(
@@ -149,6 +177,24 @@
         self.request_time.observe(seconds(took_ms));
     }
 
+    /// Counts a request of an account. It must be in the configuration in force, so that
+    /// [`Self::remove_accounts`] is called when it no longer is.
+    pub fn account_request_started(&self, account: &Arc<str>) {
+        self.account_requests.get_or_create(&AccountLabels { account: account.clone() }).inc();
+    }
+
+    /// Removes the counters of accounts that are no longer in the configuration, so that the number
+    /// of counters stays bounded.
+    pub fn remove_accounts<'a>(&self, accounts: impl Iterator<Item = &'a Arc<str>>) {
+        for account in accounts {
+            self.account_requests.remove(&AccountLabels { account: account.clone() });
+        }
+    }
+
+    pub fn key_refused(&self, problem: KeyProblem) {
+        self.key_refusals.get_or_create(&KeyLabels { reason: problem.to_string() }).inc();
+    }
+
     pub fn attempt_started(&self, is_retry: bool) {
         self.attempts.inc();
         if is_retry {
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -4,6 +4,7 @@
 //! Everything runs on one thread: a daemon has a fraction of a core, and shared state needs no
 //! locks.
 
+mod accounts;
 mod attempt;
 mod bodies;
 mod callers;
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -1,6 +1,7 @@
 //! The handling of one request of a caller: its route, its attempts and its response.
 
 use super::Mesh;
+use super::accounts::{account_of, rank};
 use super::attempt;
 use super::forward::end_to_end_headers;
 use super::response::{TargetResponse, refusal_response, target_response};
@@ -11,6 +12,7 @@
 use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderMap, Response};
+use pomeloreach_core::account_index::{KeyProblem, MatchedAccount};
 use pomeloreach_core::call::CallRequest;
 use pomeloreach_core::code::ResultCode;
 use pomeloreach_core::event::Event;
@@ -36,6 +38,10 @@
     mesh: &'a Rc<Mesh>,
     route: &'a MatchedRoute,
     service: Arc<str>,
+    /// The client account of the caller; absent if it sent no known key.
+    account: Option<Arc<MatchedAccount>>,
+    /// The rank of the request where requests queue, by the priorities of its account and route.
+    rank: u8,
     attempts: Attempts,
     request_id: Arc<str>,
     request: CallRequest,
@@ -85,6 +91,10 @@
         let code = missing_route_code(mesh.config.version(), mesh.newest_known_version());
         return refuse(mesh, &caller.request_id, code);
     };
+    let account = match account_of(mesh, route, &head.headers) {
+        Ok(account) => account,
+        Err(problem) => return refuse_key(mesh, &caller.request_id, route, problem),
+    };
     let weighted = mesh.round_robin.borrow_mut().next(route).clone();
     let route_timeout_ms = u64::from(route.route.deadline_ms);
     let deadline_ms =
@@ -96,8 +106,10 @@
         mesh,
         route,
         service: weighted.pool.service,
+        rank: rank(account.as_deref(), route),
         attempts: Attempts::new(RetryPolicy { is_idempotent, attempts_max, deadline_ms }),
-        request: call_request(mesh, &head, &body),
+        request: call_request(mesh, &head, &body, account.as_deref()),
+        account,
         request_id: caller.request_id,
         body,
         arrived_ms,
@@ -124,13 +136,34 @@
     Some(refuse(mesh, &request_id.unwrap_or_default(), ResultCode::DaemonNotReady))
 }
 
+/// Refuses a request whose route needs a key, because its key is missing or unknown.
+fn refuse_key(
+    mesh: &Rc<Mesh>,
+    request_id: &str,
+    route: &MatchedRoute,
+    problem: KeyProblem,
+) -> Response<Bytes> {
+    let code = problem.code(mesh.config.version(), mesh.newest_known_version());
+    refuse_with(mesh, request_id, code, &format!(" reason={problem} route={}", route.name))
+}
+
 /// Refuses a request that cannot be routed.
 fn refuse(mesh: &Rc<Mesh>, request_id: &str, code: ResultCode) -> Response<Bytes> {
+    refuse_with(mesh, request_id, code, "")
+}
+
+/// Refuses a request before a target is chosen. `detail` is added to the log line.
+fn refuse_with(
+    mesh: &Rc<Mesh>,
+    request_id: &str,
+    code: ResultCode,
+    detail: &str,
+) -> Response<Bytes> {
     mesh.metrics.request_ended(code, 0);
     log_with(Event::RequestFailed, || {
         let config = mesh.config_state();
         format!(
-            "request={request_id} code={code} version={} newest_known_version={} \
+            "request={request_id} code={code}{detail} version={} newest_known_version={} \
              confirmed_age_ms={:?}",
             config.version,
             mesh.newest_known_version(),
@@ -148,16 +181,27 @@
 }
 
 /// The parts of a request that are the same for each attempt.
-fn call_request(mesh: &Mesh, head: &Parts, body: &Bytes) -> CallRequest {
+fn call_request(
+    mesh: &Mesh,
+    head: &Parts,
+    body: &Bytes,
+    account: Option<&MatchedAccount>,
+) -> CallRequest {
     let mut forwarded = head.headers.clone();
     headers::set_caller_service(&mut forwarded, &mesh.mesh_settings.borrow().service);
+    headers::remove_account(&mut forwarded);
+    if !mesh.config.accounts().is_empty() {
+        headers::remove_credentials(&mut forwarded);
+    }
+    let mut forwarded = end_to_end_headers(&forwarded);
+    forwarded.extend(account.map(|account| headers::account_header(&account.name)));
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     CallRequest {
         instance: "".into(),
         left_ms: 0,
         method: head.method.as_str().into(),
         path: path.into(),
-        headers: end_to_end_headers(&forwarded),
+        headers: forwarded,
         body_bytes: body.len() as u64,
     }
 }
@@ -215,8 +259,8 @@
                 return Err(ResultCode::NoTarget);
             }
         };
-        let rank = self.route.route.priority;
-        if self.attempts.is_retry() && !self.mesh.withdraw_retry(&self.service, rank) {
+        let priority = self.route.route.priority;
+        if self.attempts.is_retry() && !self.mesh.withdraw_retry(&self.service, priority) {
             return Err(ResultCode::RetryBudgetSpent);
         }
         self.mesh.metrics.attempt_started(self.attempts.is_retry());
@@ -277,11 +321,11 @@
         request.left_ms = self.attempts.left_ms(now_ms);
         let terms = AdmissionTerms {
             goal_left_ms: self.goal_ms.saturating_sub(now_ms),
-            rank: self.route.route.priority,
+            rank: self.rank,
             is_idempotent: self.route.route.idempotent,
             service_ms: self.typical_times().service_ms.map(|ms| ms as u32),
             wait_max_ms,
-            account: None,
+            account: self.account_name().cloned(),
         };
         InboundRequest { request, terms, body: self.body.clone() }
     }
@@ -296,7 +340,7 @@
             service: &self.service,
             tried_daemons: self.attempts.tried_daemons(),
             is_idempotent: self.route.route.idempotent,
-            rank: self.route.route.priority,
+            rank: self.rank,
             goal_left_ms: self.goal_ms.saturating_sub(now_ms),
             left_ms: self.attempts.left_ms(now_ms),
             service_ms: self.typical_times().service_ms,
@@ -382,12 +426,14 @@
     fn log_result(&self, event: Event, code: ResultCode, took_ms: u64, retry_after_ms: u64) {
         log_with(event, || {
             format!(
-                "request={} route={} version={} rank={} service={} code={code} tried={} \
-                 reached={} took_ms={took_ms} left_ms={} retry_after_ms={retry_after_ms} {}",
+                "request={} route={} version={} account={} rank={} service={} code={code} \
+                 tried={} reached={} took_ms={took_ms} left_ms={} \
+                 retry_after_ms={retry_after_ms} {}",
                 self.request_id,
                 self.route.name,
                 self.mesh.config.version(),
-                self.route.route.priority,
+                self.account_name().map_or("-", |name| name),
+                self.rank,
                 self.service,
                 self.attempts.tried_daemons().len(),
                 self.attempts.targets_reached(),
@@ -397,6 +443,10 @@
         });
     }
 
+    fn account_name(&self) -> Option<&Arc<str>> {
+        self.account.as_ref().map(|account| &account.name)
+    }
+
     /// The typical times of the request's route.
     fn typical_times(&self) -> TypicalTimes {
         self.mesh.typical_times.borrow().get(&self.route.name).copied().unwrap_or_default()
--- a/crates/daemon/src/mesh/response.rs
+++ b/crates/daemon/src/mesh/response.rs
@@ -43,8 +43,12 @@
     };
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     headers::set_request_id(response.headers_mut(), request_id);
-    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
-        headers::set_retry_after(response.headers_mut(), retry_after_ms);
+    match response.status() {
+        StatusCode::SERVICE_UNAVAILABLE => {
+            headers::set_retry_after(response.headers_mut(), retry_after_ms);
+        }
+        StatusCode::UNAUTHORIZED => headers::set_key_challenge(response.headers_mut()),
+        _ => {}
     }
     response
 }
