--- a/crates/cli/src/cmd/explain.rs
+++ b/crates/cli/src/cmd/explain.rs
@@ -86,5 +86,12 @@
             )
         },
     );
-    format!("{} {code}: {outcome}. {last_target}.", code.number())
+    let caller = match (line.value("account"), line.value("reason")) {
+        (Some("-") | None, Some(problem @ ("missing" | "unknown"))) => {
+            format!(" The caller's API key was {problem}.")
+        }
+        (Some("-") | None, _) => String::new(),
+        (Some(account), _) => format!(" The caller's account was {account}."),
+    };
+    format!("{} {code}: {outcome}. {last_target}.{caller}", code.number())
 }
--- a/crates/cli/src/table_files.rs
+++ b/crates/cli/src/table_files.rs
@@ -2,11 +2,11 @@
 //! tables in force.
 
 use crate::error::CliError;
-use pomeloreach_core::check::check_tables;
+use pomeloreach_core::check::{PUBLIC_ROUTE_REASON, check_tables};
 use pomeloreach_core::config::{Config, Row, Tables};
 use pomeloreach_core::edit::Change;
 use pomeloreach_core::row::{Pool, Route};
-use serde::de::DeserializeOwned;
+use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -20,6 +20,9 @@
     pub routes: Option<BTreeMap<Arc<str>, Route>>,
     #[serde(default)]
     pub pools: Option<BTreeMap<Arc<str>, Pool>>,
+    /// Only read to refuse files with client accounts for the right reason.
+    #[serde(default, skip_serializing)]
+    accounts: Option<IgnoredAny>,
 }
 
 /// Reads a YAML file as a value of type `T`.
@@ -35,12 +38,26 @@
     let mut merged = TableFile::default();
     for path in paths {
         let file: TableFile = read_yaml(path)?;
+        refuse_accounts(&file, path)?;
         merge(&mut merged.routes, file.routes, path)?;
         merge(&mut merged.pools, file.pools, path)?;
     }
     Ok(merged)
 }
 
+/// Refuses what depends on client accounts, which only a platform that keeps the configuration has.
+fn refuse_accounts(file: &TableFile, path: &Path) -> Result<(), CliError> {
+    let bad_file = |reason| Err(CliError::BadFile { path: path.to_path_buf(), reason });
+    if file.accounts.is_some() {
+        return bad_file("these tables have no client accounts".to_string());
+    }
+    let public_route = file.routes.iter().flatten().find(|(_, route)| route.is_public);
+    match public_route {
+        Some((name, _)) => bad_file(format!("route '{name}': {PUBLIC_ROUTE_REASON}")),
+        None => Ok(()),
+    }
+}
+
 /// Adds the rows of one file to the rows of the files before it.
 fn merge<T>(
     merged: &mut Option<BTreeMap<Arc<str>, T>>,
