--- a/crates/daemon/src/mesh/inbound.rs
+++ b/crates/daemon/src/mesh/inbound.rs
@@ -355,7 +355,7 @@
              service_ms={:.0} usual_ms={:?} goal_ms={} left_ms={} wait_max_ms={:?}",
             request_id(&inbound.request),
             inbound.request.instance,
-            inbound.terms.account.as_deref().unwrap_or("none"),
+            inbound.terms.account.as_deref().unwrap_or("-"),
             inbound.terms.rank,
             load.running,
             load.waiting,
