--- a/crates/wire/src/h1/client.rs
+++ b/crates/wire/src/h1/client.rs
@@ -1,8 +1,9 @@
 //! A persistent connection to a server, which carries one request at a time.
 
 use super::reader::{Framing, MessageError, Reader, declared_framing, malformed};
-use super::{connection_lists, encode_headers};
+use super::{EncodedMessage, connection_lists, encode_headers};
 use crate::clock::{Clock, within_ms};
+use crate::memory::Memory;
 use async_net::TcpStream;
 use bytes::Bytes;
 use futures_lite::AsyncWriteExt;
@@ -10,6 +11,7 @@
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Version};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use thiserror::Error;
 
 /// The largest head of a response.
@@ -58,6 +60,8 @@
     must_close: bool,
     /// How long the body of the last response took to arrive after its head, in milliseconds.
     body_ms: u64,
+    /// The budget that the bodies of responses are charged to.
+    memory: Arc<Memory>,
 }
 
 impl Connection {
@@ -73,7 +77,12 @@
             .map_err(ExchangeError::Connect)?;
         stream.set_nodelay(true).map_err(ExchangeError::Connect)?;
         let reader = Reader::new(stream.clone());
-        Ok(Self { stream, reader, must_close: false, body_ms: 0 })
+        Ok(Self { stream, reader, must_close: false, body_ms: 0, memory: Memory::unlimited() })
+    }
+
+    /// Charges the bodies of later responses to `memory`.
+    pub fn set_memory(&mut self, memory: Arc<Memory>) {
+        self.memory = memory;
     }
 
     /// Whether another request can be sent: the server has neither closed the connection nor sent
@@ -123,17 +132,19 @@
         is_mismatched: impl Fn(&HeaderMap) -> bool,
     ) -> Result<Response<Bytes>, ExchangeError> {
         self.must_close = true;
-        let bytes = encode(request);
+        let message = encode(request);
         let mut is_written = false;
         let mut writer = self.stream.clone();
         let writing = async {
             // The server may have sent a response even if writing fails.
-            is_written = writer.write_all(&bytes).await.is_ok();
+            let [head, body] = message.parts();
+            is_written =
+                writer.write_all(head).await.is_ok() && writer.write_all(body).await.is_ok();
             pending().await
         };
         let reader = &mut self.reader;
-        let reading =
-            read_response(reader, timeouts, request.method(), body_bytes_max, is_mismatched);
+        let limits = ResponseLimits { timeouts, body_bytes_max, memory: &self.memory };
+        let reading = read_response(reader, limits, request.method(), is_mismatched);
         let (response, is_keep_alive, body_ms) = or(reading, writing).await?;
         self.body_ms = body_ms;
         // A server that responded before the request was written completely would read the next
@@ -143,15 +154,23 @@
     }
 }
 
+/// What bounds a response.
+#[derive(Clone, Copy)]
+struct ResponseLimits<'a> {
+    timeouts: Option<ResponseTimeouts>,
+    body_bytes_max: usize,
+    memory: &'a Arc<Memory>,
+}
+
 /// Reads the response to a request with `method`, whether the connection stays open after it, and how
 /// long its body took, in milliseconds.
 async fn read_response(
     reader: &mut Reader,
-    timeouts: Option<ResponseTimeouts>,
+    limits: ResponseLimits<'_>,
     method: &Method,
-    body_bytes_max: usize,
     is_mismatched: impl Fn(&HeaderMap) -> bool,
 ) -> Result<(Response<Bytes>, bool, u64), ExchangeError> {
+    let ResponseLimits { timeouts, body_bytes_max, memory } = limits;
     for _ in 0..=SKIPPED_MAX {
         reader.set_silence_max_ms(None);
         let reading_head = reader.read_response_head(HEAD_BYTES_MAX);
@@ -173,7 +192,7 @@
             None => Framing::UntilClose,
         };
         let body_clock = Clock::default();
-        let body = reader.read_body(framing, body_bytes_max).await?;
+        let body = reader.read_body(framing, body_bytes_max, memory, None).await?;
         if is_mismatched(head.headers()) {
             continue;
         }
@@ -185,9 +204,9 @@
     Err(malformed("too many informational responses and responses to other requests").into())
 }
 
-fn encode(request: &Request<Bytes>) -> Vec<u8> {
+fn encode(request: &Request<Bytes>) -> EncodedMessage {
     let body = request.body();
-    let mut bytes = Vec::with_capacity(512 + body.len());
+    let mut bytes = Vec::with_capacity(1_024);
     bytes.extend_from_slice(request.method().as_str().as_bytes());
     bytes.push(b' ');
     let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
@@ -199,6 +218,5 @@
         bytes.extend_from_slice(format!("content-length: {}\r\n", body.len()).as_bytes());
     }
     bytes.extend_from_slice(b"\r\n");
-    bytes.extend_from_slice(body);
-    bytes
+    EncodedMessage::new(bytes, body.clone())
 }
--- a/crates/wire/src/h1/mod.rs
+++ b/crates/wire/src/h1/mod.rs
@@ -4,12 +4,18 @@
 //! body on as if it were complete; `hyper` handles pipelined requests one after the other, and
 //! closes a connection on which a mismatched response precedes the expected one.
 
+mod activity;
+mod body;
 pub mod client;
 mod reader;
+mod responses;
 pub mod server;
+mod service;
 
+pub use activity::ConnectionActivity;
 pub use reader::MessageError;
 
+use bytes::Bytes;
 use http::HeaderMap;
 use http::header::CONNECTION;
 
@@ -49,3 +55,28 @@
         bytes.extend_from_slice(b"\r\n");
     }
 }
+
+/// Bodies up to this size are copied behind the head of their message, so that both are sent in one
+/// packet. Larger ones are sent from where they are.
+const JOINED_BODY_BYTES_MAX: usize = 16 * 1024;
+
+/// A message that is ready to be sent: its head, with a small body, and a large body.
+struct EncodedMessage {
+    head: Vec<u8>,
+    body: Bytes,
+}
+
+impl EncodedMessage {
+    fn new(mut head: Vec<u8>, body: Bytes) -> Self {
+        if body.len() > JOINED_BODY_BYTES_MAX {
+            return Self { head, body };
+        }
+        head.extend_from_slice(&body);
+        Self { head, body: Bytes::new() }
+    }
+
+    /// The parts to send, in order.
+    fn parts(&self) -> [&[u8]; 2] {
+        [&self.head, &self.body]
+    }
+}
--- a/crates/wire/src/h1/reader.rs
+++ b/crates/wire/src/h1/reader.rs
@@ -1,18 +1,26 @@
 //! Reads complete HTTP/1.1 messages from a connection.
 
-use crate::clock::within_ms;
+use super::body::BodyBuffer;
+use crate::clock::{Clock, within_ms};
+use crate::memory::{Hold, Memory};
 use async_net::TcpStream;
 use bytes::{Buf, Bytes, BytesMut};
 use futures_lite::AsyncReadExt;
+use futures_lite::future::yield_now;
 use http::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, Version};
 use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use thiserror::Error;
 
 /// The largest number of headers in a response, and in a request that is parsed without allocating.
 const HEADERS_MAX: usize = 128;
 /// The size of one read from the connection.
 const READ_BYTES: usize = 4 * 1024;
+/// After this many reads in a row, other tasks run: a client that sends without end would otherwise
+/// occupy the thread for as long as bytes are available.
+const READS_PER_TURN: u32 = 16;
 /// The largest size line of a chunk, and the largest trailer section.
 const CHUNK_LINE_BYTES_MAX: usize = 4 * 1024;
 
@@ -33,6 +41,8 @@
     HeadTooLarge(usize),
     #[error("the body exceeds {0} bytes")]
     BodyTooLarge(usize),
+    #[error("the memory budget has no room for the message")]
+    NoMemory,
     #[error("the message head was not complete in time")]
     TimedOut,
     #[error("nothing was received for {0} ms")]
@@ -57,12 +67,41 @@
     scratch: Box<[u8]>,
     /// How long one read may wait for bytes, in milliseconds.
     silence_max_ms: Option<u64>,
+    reads: u32,
+    received: ReceivedTime,
+}
+
+/// When a connection last received bytes.
+#[derive(Clone, Debug, Default)]
+pub struct ReceivedTime {
+    clock: Clock,
+    received_ms: Arc<AtomicU64>,
+}
+
+impl ReceivedTime {
+    pub fn new(clock: Clock) -> Self {
+        Self { clock, received_ms: Arc::new(AtomicU64::new(clock.now_ms())) }
+    }
+
+    pub fn received_ms(&self) -> u64 {
+        self.received_ms.load(Ordering::Relaxed)
+    }
+
+    fn record(&self) {
+        self.received_ms.store(self.clock.now_ms(), Ordering::Relaxed);
+    }
 }
 
 impl Reader {
     pub fn new(stream: TcpStream) -> Self {
+        Self::recording(stream, ReceivedTime::default())
+    }
+
+    /// A reader that records in `received` when it receives bytes.
+    pub fn recording(stream: TcpStream, received: ReceivedTime) -> Self {
         let scratch = vec![0; READ_BYTES].into();
-        Self { stream, buffer: BytesMut::new(), scratch, silence_max_ms: None }
+        let buffer = BytesMut::new();
+        Self { stream, buffer, scratch, silence_max_ms: None, reads: 0, received }
     }
 
     /// Limits how long each later read may wait for bytes.
@@ -80,15 +119,25 @@
         !self.buffer.is_empty()
     }
 
+    /// The number of bytes that were not parsed yet.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Reads more bytes into the buffer. Returns false at the end of the stream. Dropping the
     /// future loses no bytes.
     pub async fn fill(&mut self) -> Result<bool, MessageError> {
+        self.reads = self.reads.wrapping_add(1);
+        if self.reads.is_multiple_of(READS_PER_TURN) {
+            yield_now().await;
+        }
         let reading = self.stream.read(&mut self.scratch);
         let bytes = match self.silence_max_ms {
             Some(ms) => within_ms(ms, reading).await.ok_or(MessageError::Silent(ms))??,
             None => reading.await?,
         };
         self.buffer.extend_from_slice(&self.scratch[..bytes]);
+        self.received.record();
         Ok(bytes > 0)
     }
 
@@ -166,65 +215,89 @@
         }
     }
 
-    /// Reads a complete body. The reader keeps no memory of it.
+    /// Reads a complete body, and charges it to `memory`. The reader keeps no memory of it. With a
+    /// `hold`, the body belongs to a request that is refused if the budget has no room for it.
     pub async fn read_body(
         &mut self,
         framing: Framing,
         bytes_max: usize,
+        memory: &Arc<Memory>,
+        hold: Option<&Hold>,
     ) -> Result<Bytes, MessageError> {
+        let mut body = BodyBuffer::new(memory, hold, bytes_max);
         match framing {
-            Framing::Length(0) => Ok(Bytes::new()),
+            Framing::Length(0) => return Ok(Bytes::new()),
             Framing::Length(length) if length > bytes_max => {
-                Err(MessageError::BodyTooLarge(bytes_max))
+                return Err(MessageError::BodyTooLarge(bytes_max));
             }
             Framing::Length(length) => {
-                while self.buffer.len() < length {
-                    self.fill_or_truncated().await?;
-                }
-                let body = self.buffer.split_to(length).freeze();
-                self.release_buffer();
-                Ok(body)
+                body.reserve_length(length)?;
+                self.read_into(&mut body, length).await?;
             }
-            Framing::UntilClose => {
-                while self.fill().await? {
-                    if self.buffer.len() > bytes_max {
-                        return Err(MessageError::BodyTooLarge(bytes_max));
-                    }
+            Framing::UntilClose => loop {
+                self.move_into(&mut body, usize::MAX)?;
+                if !self.fill().await? {
+                    break;
                 }
-                Ok(std::mem::take(&mut self.buffer).freeze())
-            }
-            Framing::Chunked => {
-                let body = self.read_chunked_body(bytes_max).await;
-                self.release_buffer();
-                body
-            }
+            },
+            Framing::Chunked => self.read_chunks(&mut body).await?,
+        }
+        self.release_buffer();
+        Ok(body.into_bytes())
+    }
+
+    /// Moves up to `bytes_max` bytes that were not parsed yet to a body. Returns their number.
+    fn move_into(
+        &mut self,
+        body: &mut BodyBuffer<'_>,
+        bytes_max: usize,
+    ) -> Result<usize, MessageError> {
+        let bytes = self.buffer.len().min(bytes_max);
+        body.extend(&self.buffer[..bytes])?;
+        self.buffer.advance(bytes);
+        Ok(bytes)
+    }
+
+    /// Reads exactly `bytes` bytes into a body.
+    async fn read_into(
+        &mut self,
+        body: &mut BodyBuffer<'_>,
+        bytes: usize,
+    ) -> Result<(), MessageError> {
+        let mut left = bytes - self.move_into(body, bytes)?;
+        while left > 0 {
+            self.fill_or_truncated().await?;
+            left -= self.move_into(body, left)?;
         }
+        Ok(())
     }
 
-    /// Moves the bytes that were not parsed yet to an allocation of their own. That of the buffer is
-    /// as large as the body that was in it, and is shared with the body.
-    fn release_buffer(&mut self) {
+    /// Discards the bytes that were not parsed yet.
+    pub fn discard_buffer(&mut self) {
+        self.buffer = BytesMut::new();
+    }
+
+    /// Moves the bytes that were not parsed yet to an allocation of their own, so that a connection
+    /// keeps no larger one than it needs.
+    pub fn release_buffer(&mut self) {
         self.buffer = BytesMut::from(&self.buffer[..]);
     }
 
-    async fn read_chunked_body(&mut self, bytes_max: usize) -> Result<Bytes, MessageError> {
-        let mut body = BytesMut::new();
+    async fn read_chunks(&mut self, body: &mut BodyBuffer<'_>) -> Result<(), MessageError> {
         loop {
             let size = self.read_chunk_size().await?;
             if size == 0 {
-                self.skip_trailers().await?;
-                return Ok(body.freeze());
-            }
-            if size > bytes_max - body.len() {
-                return Err(MessageError::BodyTooLarge(bytes_max));
+                return self.skip_trailers().await;
             }
-            while self.buffer.len() < size + 2 {
+            body.check_room(size)?;
+            self.read_into(body, size).await?;
+            while self.buffer.len() < 2 {
                 self.fill_or_truncated().await?;
             }
-            body.extend_from_slice(&self.buffer.split_to(size));
-            if self.buffer.split_to(2).as_ref() != b"\r\n" {
+            if !self.buffer.starts_with(b"\r\n") {
                 return Err(malformed("a chunk is longer than its declared size"));
             }
+            self.buffer.advance(2);
         }
     }
 
--- a/crates/wire/src/h1/server.rs
+++ b/crates/wire/src/h1/server.rs
@@ -1,72 +1,43 @@
 //! Serves a client's connection, including pipelined requests.
 
+use super::activity::ConnectionActivity;
+use super::connection_lists;
 use super::reader::{Framing, MessageError, Reader, declared_framing};
-use super::{connection_lists, encode_headers};
-use crate::clock::{Clock, within_ms};
+use super::responses::{QueuedResponse, SendingEnd, UnsentResponses, write_responses};
+use super::service::empty_response;
+pub use super::service::{Bound, SOCKET_BUFFER_BYTES, ServerLimits, Service};
+use crate::clock::{sleep_ms, within_ms};
 use crate::close::{close_after_last_message, discard_until_closed};
-use async_channel::{Receiver, Sender};
-use async_executor::{LocalExecutor, Task};
+use crate::memory::budget::{HolderKind, Purpose, SMALL_BYTES_MAX};
+use crate::memory::{Charge, Hold, Memory};
+use async_channel::Sender;
+use async_executor::LocalExecutor;
 use async_net::TcpStream;
 use bytes::Bytes;
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::{or, pending};
-use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT};
+use http::header::EXPECT;
 use http::{Method, Request, Response, StatusCode, Version};
-use std::cell::Cell;
-use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
 
 /// The capacity of a connection's response queue, which bounds its pipelined requests.
 const PIPELINED_MAX: usize = 32;
 /// How often a request that waits for earlier responses checks whether they are sent, in
 /// milliseconds.
 const RESPONSES_POLL_MS: u64 = 5;
-/// Limits on the size and duration of what a client sends.
-#[derive(Clone, Copy, Debug)]
-pub struct ServerLimits {
-    pub header_bytes_max: usize,
-    pub body_bytes_max: usize,
-    /// The longest time from the first byte of a message head to its last one, in milliseconds.
-    pub header_timeout_ms: u64,
-    /// The longest wait for a request's first byte, and for its body, in milliseconds.
-    pub idle_timeout_ms: u64,
-}
-
-/// Handles the requests of a connection.
-pub trait Service {
-    type ResponseFuture: Future<Output = Response<Bytes>> + 'static;
-
-    /// Starts to handle a request. The future is dropped if the client closes the connection.
-    fn respond(&self, request: Request<Bytes>) -> Self::ResponseFuture;
-
-    fn limits(&self) -> ServerLimits;
-
-    /// The response to any request while the service can handle none. It is sent before the body is
-    /// read, in place of a refusal of the request itself, and closes the connection. The head is
-    /// absent if it could not be read.
-    fn unavailable(&self, _head: Option<&Request<()>>) -> Option<Response<Bytes>> {
-        None
-    }
-
-    /// Whether connections are closed after their next response.
-    fn is_draining(&self) -> bool {
-        false
-    }
-
-    /// Completes when no further requests may be read.
-    fn stopped(&self) -> impl Future<Output = ()> {
-        pending()
-    }
-}
-
-/// The response to a request that was read, in the queue of responses to send.
-struct QueuedResponse {
-    task: Task<Response<Bytes>>,
-    /// The request has the method HEAD, so the response has no body.
-    is_head_request: bool,
-    /// The connection is closed after this response.
-    is_last: bool,
-}
-
+/// No further request is read from a connection while so many bytes of complete responses wait to be
+/// sent on it.
+const UNREAD_BYTES_MAX: usize = 256 * 1024;
+/// How many bytes are read behind a request that waits for earlier responses. Reading notices a
+/// disconnect.
+const READ_AHEAD_BYTES_MAX: usize = 64 * 1024;
+/// The memory of a request apart from its head and body: its state and its tasks.
+const REQUEST_BYTES: usize = 4 * 1024;
+/// An incomplete head is charged beyond this size: every connection may hold as much.
+const UNCHARGED_HEAD_BYTES: usize = 4 * 1024;
+/// How often the head of a request is in memory: as parsed, as sent to the target and in a queue.
+const HEAD_COPIES: usize = 3;
 /// Why no more requests are read from a connection.
 enum Stop {
     /// The client closed the connection, or it failed.
@@ -79,36 +50,8 @@
     Refused(StatusCode),
     /// The service can handle no request now, and responds with this.
     Unavailable(Response<Bytes>),
-}
-
-/// The requests in progress on a connection, and since when there are none.
-#[derive(Default)]
-struct Activity {
-    clock: Clock,
-    /// The number of requests that were read and whose responses are not sent yet.
-    in_flight: Cell<usize>,
-    /// When the last response was sent.
-    last_sent_ms: Cell<u64>,
-}
-
-impl Activity {
-    fn is_idle(&self) -> bool {
-        self.in_flight.get() == 0
-    }
-
-    fn request_read(&self) {
-        self.in_flight.set(self.in_flight.get() + 1);
-    }
-
-    fn response_sent(&self) {
-        self.in_flight.set(self.in_flight.get().saturating_sub(1));
-        self.last_sent_ms.set(self.clock.now_ms());
-    }
-
-    /// How long no request has been in progress.
-    fn idle_ms(&self) -> u64 {
-        if self.is_idle() { self.clock.now_ms() - self.last_sent_ms.get() } else { 0 }
-    }
+    /// The budget has no room for the head of a request.
+    Overloaded,
 }
 
 /// Serves a connection until it closes. Pipelined GET and HEAD requests are handled concurrently; a
@@ -116,26 +59,46 @@
 /// the order of the requests. Requests in progress are cancelled when the client closes the
 /// connection. A connection that this side ends stays open for reading until the client has closed it.
 pub async fn serve(executor: &LocalExecutor<'static>, stream: TcpStream, service: &impl Service) {
+    serve_observed(executor, stream, service, Rc::default()).await;
+}
+
+/// Like [`serve`], and records what happens on the connection in `activity`.
+pub async fn serve_observed(
+    executor: &LocalExecutor<'static>,
+    stream: TcpStream,
+    service: &impl Service,
+    activity: Rc<ConnectionActivity>,
+) {
     // The result does not matter: without the option small responses are only delayed.
     stream.set_nodelay(true).ok();
     let (sender, receiver) = async_channel::bounded(PIPELINED_MAX);
-    let activity = Activity::default();
+    let memory = service.memory();
+    let hold = memory.hold(HolderKind::Responses);
+    let unsent = Rc::new(UnsentResponses { activity, hold });
     let writer = stream.clone();
     let reading = async {
         let mut request_reader = RequestReader {
-            reader: Reader::new(stream.clone()),
+            reader: Reader::recording(stream.clone(), unsent.activity.received()),
             executor,
             service,
             sender,
-            activity: &activity,
+            memory,
+            unsent: &unsent,
         };
         let refusal = match request_reader.run().await {
-            Stop::Disconnected => return true,
+            Stop::Disconnected => return ConnectionEnd::Closed,
             Stop::Idle | Stop::ServiceStopped => None,
             Stop::Refused(status) => {
+                if status == StatusCode::PAYLOAD_TOO_LARGE {
+                    service.bound_reached(Bound::BodySize);
+                }
                 Some(service.unavailable(None).unwrap_or_else(|| empty_response(status)))
             }
             Stop::Unavailable(response) => Some(response),
+            Stop::Overloaded => {
+                service.bound_reached(Bound::Memory);
+                Some(service.overloaded(None))
+            }
         };
         if let Some(response) = refusal {
             request_reader.refuse(response).await;
@@ -144,16 +107,37 @@
         request_reader.sender.close();
         drop(request_reader);
         discard_until_closed(stream.clone()).await;
-        true
+        ConnectionEnd::Closed
     };
     let writing = async {
-        write_responses(writer, &receiver, &activity, service).await;
-        false
+        match write_responses(writer, &receiver, &unsent, service).await {
+            SendingEnd::Finished => ConnectionEnd::LastMessageSent,
+            SendingEnd::Unread => ConnectionEnd::Unread(Bound::UnreadTime),
+        }
+    };
+    let closing = async {
+        unsent.hold.closed().await;
+        ConnectionEnd::Unread(Bound::UnreadMemory)
     };
-    if or(reading, writing).await {
-        return;
+    match or(or(reading, writing), closing).await {
+        ConnectionEnd::Closed => {}
+        ConnectionEnd::LastMessageSent => {
+            // What waits to be sent is not needed while the client closes the connection.
+            drop(receiver);
+            close_after_last_message(stream).await;
+        }
+        ConnectionEnd::Unread(bound) => service.bound_reached(bound),
     }
-    close_after_last_message(stream).await;
+}
+
+/// How a connection ends.
+enum ConnectionEnd {
+    /// The client closed it, or it failed.
+    Closed,
+    /// The last response was sent.
+    LastMessageSent,
+    /// The client reads no responses.
+    Unread(Bound),
 }
 
 /// Reads the requests of a connection and starts to handle them.
@@ -162,77 +146,172 @@
     executor: &'a LocalExecutor<'static>,
     service: &'a S,
     sender: Sender<QueuedResponse>,
-    activity: &'a Activity,
+    memory: Arc<Memory>,
+    unsent: &'a Rc<UnsentResponses>,
 }
 
 impl<S: Service> RequestReader<'_, S> {
     /// Reads requests until there is a reason to stop.
     async fn run(&mut self) -> Stop {
         loop {
+            self.wait_until_read().await;
             let stopped = async {
                 self.service.stopped().await;
                 Err(Stop::ServiceStopped)
             };
+            let activity = &self.unsent.activity;
             let reading = async {
-                let head = read_head(&mut self.reader, self.service, self.activity).await;
+                let (reader, memory) = (&mut self.reader, &self.memory);
+                let head = read_head(reader, self.service, activity, memory).await;
                 head.map_err(|error| stop_reason(&error))
             };
-            let (head, limits) = match or(reading, stopped).await {
+            let (head, head_bytes, limits) = match or(reading, stopped).await {
                 Ok(head) => head,
                 Err(stop) => return stop,
             };
-            if let Some(response) = self.service.unavailable(Some(&head)) {
-                return Stop::Unavailable(response);
-            }
-            let framing = match declared_framing(head.headers()) {
-                Ok(framing) => framing.unwrap_or(Framing::Length(0)),
-                Err(error) => return stop_reason(&error),
-            };
-            // `100 Continue` is sent only if no earlier response is outstanding: the client would
-            // take it for the start of one.
-            if head.headers().contains_key(EXPECT) && self.activity.is_idle() {
-                let mut stream = self.reader.stream();
-                if stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
-                    return Stop::Disconnected;
+            match self.start_request(head, head_bytes, limits).await {
+                Ok(queued) => {
+                    self.unsent.activity.request_started();
+                    if self.sender.send(queued).await.is_err() {
+                        return Stop::Disconnected;
+                    }
                 }
+                Err(stop) => return stop,
+            }
+        }
+    }
+
+    /// Reads the rest of a request and starts to handle it.
+    async fn start_request(
+        &mut self,
+        head: Request<()>,
+        head_bytes: usize,
+        limits: ServerLimits,
+    ) -> Result<QueuedResponse, Stop> {
+        if let Some(response) = self.service.unavailable(Some(&head)) {
+            return Err(Stop::Unavailable(response));
+        }
+        let framing = match declared_framing(head.headers()) {
+            Ok(framing) => framing.unwrap_or(Framing::Length(0)),
+            Err(error) => return Err(stop_reason(&error)),
+        };
+        let request_bytes = REQUEST_BYTES + HEAD_COPIES * head_bytes;
+        let Some(charge) = self.charge_request(request_bytes).await else {
+            return Err(self.overloaded(&head, Bound::Memory));
+        };
+        // `100 Continue` is sent only if no earlier response is outstanding: the client would
+        // take it for the start of one.
+        if head.headers().contains_key(EXPECT) && self.unsent.activity.is_idle() {
+            let mut stream = self.reader.stream();
+            if stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+                return Err(Stop::Disconnected);
             }
-            let reading = self.reader.read_body(framing, limits.body_bytes_max);
-            let body = match within_ms(limits.idle_timeout_ms, reading).await {
-                None => return Stop::Refused(StatusCode::REQUEST_TIMEOUT),
-                Some(Err(error)) => return stop_reason(&error),
-                Some(Ok(body)) => body,
+        }
+        let hold = self.memory.hold(HolderKind::Request);
+        let body = {
+            let bytes_max = limits.body_bytes_max;
+            let reading = self.reader.read_body(framing, bytes_max, &self.memory, Some(&hold));
+            let reading = async { Some(within_ms(limits.idle_timeout_ms, reading).await) };
+            let closing = async {
+                hold.closed().await;
+                None
             };
-            let is_last = !is_keep_alive(&head);
-            let is_head_request = head.method() == Method::HEAD;
-            if !matches!(*head.method(), Method::GET | Method::HEAD) {
-                // A request that may not be repeated starts only after all earlier responses are
-                // sent: one of them could close the connection.
-                if let Some(stop) = self.wait_for_responses().await {
-                    return stop;
-                }
+            or(reading, closing).await
+        };
+        let body = match body {
+            None => return Err(self.overloaded(&head, Bound::StalledRequest)),
+            Some(None) => return Err(Stop::Refused(StatusCode::REQUEST_TIMEOUT)),
+            Some(Some(Err(MessageError::NoMemory))) => {
+                return Err(self.overloaded(&head, Bound::Memory));
             }
-            let task = self.executor.spawn(self.service.respond(head.map(|()| body)));
-            self.activity.request_read();
-            if self.sender.send(QueuedResponse { task, is_head_request, is_last }).await.is_err() {
-                return Stop::Disconnected;
+            Some(Some(Err(error))) => return Err(stop_reason(&error)),
+            Some(Some(Ok(body))) => body,
+        };
+        let is_last = !is_keep_alive(&head);
+        let is_head_request = head.method() == Method::HEAD;
+        if !matches!(*head.method(), Method::GET | Method::HEAD) {
+            // A request that may not be repeated starts only after all earlier responses are
+            // sent: one of them could close the connection.
+            if let Some(stop) = self.wait_for_responses(&hold, body.len()).await {
+                return Err(stop.unwrap_or_else(|| self.overloaded(&head, Bound::StalledRequest)));
             }
         }
+        drop(hold);
+        let response = self.service.respond(head.map(|()| body));
+        let unsent = self.unsent.clone();
+        let task = self.executor.spawn(async move {
+            let response = response.await;
+            unsent.add(response.body().len());
+            drop(charge);
+            response
+        });
+        Ok(QueuedResponse { task, is_head_request, is_last })
     }
 
-    /// Waits until all earlier responses are sent. Returns early with the reason if the client
-    /// disconnects meanwhile.
-    async fn wait_for_responses(&mut self) -> Option<Stop> {
-        while !self.activity.is_idle() {
-            match within_ms(RESPONSES_POLL_MS, self.reader.fill()).await {
-                Some(Ok(true)) | None => {}
-                Some(_) => return Some(Stop::Disconnected),
+    /// Charges a request apart from its body. Waits for room while earlier requests of the connection
+    /// are in progress, since their responses make some.
+    async fn charge_request(&self, bytes: usize) -> Option<Charge> {
+        loop {
+            let charge = self.memory.try_charge(bytes);
+            if charge.is_some() || self.unsent.activity.is_idle() {
+                return charge;
             }
+            sleep_ms(RESPONSES_POLL_MS).await;
+        }
+    }
+
+    /// Waits while the client leaves too many bytes of responses unread, so that what it sends stays
+    /// with the system. Charges what the system may hold.
+    async fn wait_until_read(&self) {
+        let activity = &self.unsent.activity;
+        if activity.queued_bytes() <= UNREAD_BYTES_MAX {
+            return;
+        }
+        let _charge = self.memory.charge(SOCKET_BUFFER_BYTES);
+        while activity.queued_bytes() > UNREAD_BYTES_MAX {
+            sleep_ms(RESPONSES_POLL_MS).await;
         }
-        None
+    }
+
+    /// Waits until all earlier responses are sent. Returns early with the reason if the client
+    /// disconnects meanwhile, or with no reason if the memory of the request is needed: that of a
+    /// small request is kept. Reads no more than the start of the next request.
+    async fn wait_for_responses(&mut self, hold: &Hold, body_bytes: usize) -> Option<Option<Stop>> {
+        let closing = async {
+            if body_bytes <= SMALL_BYTES_MAX {
+                hold.set_bytes(0);
+                pending::<()>().await;
+            }
+            hold.closed().await;
+            Some(None)
+        };
+        let activity = &self.unsent.activity;
+        let waiting = async {
+            while !activity.is_idle() {
+                if self.reader.buffered_bytes() >= READ_AHEAD_BYTES_MAX {
+                    sleep_ms(RESPONSES_POLL_MS).await;
+                    continue;
+                }
+                match within_ms(RESPONSES_POLL_MS, self.reader.fill()).await {
+                    Some(Ok(true)) | None => {}
+                    Some(_) => return Some(Some(Stop::Disconnected)),
+                }
+            }
+            None
+        };
+        or(waiting, closing).await
+    }
+
+    /// The refusal of a request for which there is no memory.
+    fn overloaded(&self, head: &Request<()>, bound: Bound) -> Stop {
+        self.service.bound_reached(bound);
+        Stop::Unavailable(self.service.overloaded(Some(head)))
     }
 
     /// Queues an error response. It is sent after all earlier responses and closes the connection.
     async fn refuse(&mut self, response: Response<Bytes>) {
+        // What the client goes on to send is discarded.
+        self.reader.discard_buffer();
         let task = self.executor.spawn(async move { response });
         let queued = QueuedResponse { task, is_head_request: false, is_last: true };
         // The queue is closed if an earlier response closes the connection.
@@ -240,14 +319,18 @@
     }
 }
 
-/// Reads the head of the next request. Returns it with the limits that apply to the request: those
+/// Reads the head of the next request. Returns it with its size and the limits that apply to the request: those
 /// in force when its first bytes were read, since they can change while the connection is idle. An
 /// idle connection stays open while requests are in flight, and for the whole idle time after that.
 async fn read_head<S: Service>(
     reader: &mut Reader,
     service: &S,
-    activity: &Activity,
-) -> Result<(Request<()>, ServerLimits), MessageError> {
+    activity: &ConnectionActivity,
+    memory: &Arc<Memory>,
+) -> Result<(Request<()>, usize, ServerLimits), MessageError> {
+    if !reader.has_buffered_bytes() {
+        reader.release_buffer();
+    }
     while !reader.has_buffered_bytes() {
         let idle_timeout_ms = service.limits().idle_timeout_ms;
         let left_ms = idle_timeout_ms.saturating_sub(activity.idle_ms());
@@ -261,25 +344,34 @@
         }
     }
     let limits = service.limits();
+    let hold = memory.hold(HolderKind::Request);
+    let mut charge = memory.empty_charge();
     let reading = async {
         loop {
+            let buffered_bytes = reader.buffered_bytes();
             if let Some(head) = reader.parse_request_head(limits.header_bytes_max)? {
-                return Ok((head, limits));
+                return Ok((head, buffered_bytes - reader.buffered_bytes(), limits));
+            }
+            if buffered_bytes > UNCHARGED_HEAD_BYTES && charge.bytes() == 0 {
+                let bytes = limits.header_bytes_max;
+                if !charge.try_grow(Some(&hold), bytes, Purpose::Request { bytes }) {
+                    return Err(MessageError::NoMemory);
+                }
+                hold.set_bytes(bytes);
             }
             if !reader.fill().await? {
                 return Err(MessageError::Closed);
             }
         }
     };
+    let closing = async {
+        hold.closed().await;
+        Err(MessageError::NoMemory)
+    };
+    let reading = or(reading, closing);
     within_ms(limits.header_timeout_ms, reading).await.unwrap_or(Err(MessageError::TimedOut))
 }
 
-fn empty_response(status: StatusCode) -> Response<Bytes> {
-    let mut response = Response::new(Bytes::new());
-    *response.status_mut() = status;
-    response
-}
-
 /// The reason to stop after a request could not be read.
 fn stop_reason(error: &MessageError) -> Stop {
     match error {
@@ -288,6 +380,7 @@
         MessageError::Malformed(_) => Stop::Refused(StatusCode::BAD_REQUEST),
         MessageError::HeadTooLarge(_) => Stop::Refused(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
         MessageError::BodyTooLarge(_) => Stop::Refused(StatusCode::PAYLOAD_TOO_LARGE),
+        MessageError::NoMemory => Stop::Overloaded,
         MessageError::TimedOut => Stop::Refused(StatusCode::REQUEST_TIMEOUT),
     }
 }
@@ -299,48 +392,3 @@
         _ => !connection_lists(head.headers(), "close"),
     }
 }
-
-/// Sends the queued responses in order, until one of them closes the connection.
-async fn write_responses(
-    mut stream: TcpStream,
-    receiver: &Receiver<QueuedResponse>,
-    activity: &Activity,
-    service: &impl Service,
-) {
-    while let Ok(queued) = receiver.recv().await {
-        let response = queued.task.await;
-        // Requests queued after this one have already started. Their responses are sent before the
-        // connection closes.
-        let is_draining = service.is_draining() && receiver.is_empty();
-        let is_last =
-            queued.is_last || is_draining || connection_lists(response.headers(), "close");
-        let bytes = encode(response, queued.is_head_request, is_last);
-        if stream.write_all(&bytes).await.is_err() || is_last {
-            return;
-        }
-        activity.response_sent();
-    }
-}
-
-fn encode(mut response: Response<Bytes>, is_head_request: bool, is_last: bool) -> Vec<u8> {
-    let status = response.status();
-    let body = std::mem::take(response.body_mut());
-    let headers = response.headers_mut();
-    headers.remove(CONNECTION);
-    let has_length = status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED;
-    if has_length && !is_head_request {
-        headers.insert(CONTENT_LENGTH, body.len().into());
-    }
-    let mut bytes = Vec::with_capacity(512 + body.len());
-    let reason = status.canonical_reason().unwrap_or("Unknown");
-    bytes.extend_from_slice(format!("HTTP/1.1 {} {reason}\r\n", status.as_u16()).as_bytes());
-    encode_headers(headers, &mut bytes);
-    if is_last {
-        bytes.extend_from_slice(b"connection: close\r\n");
-    }
-    bytes.extend_from_slice(b"\r\n");
-    if has_length && !is_head_request {
-        bytes.extend_from_slice(&body);
-    }
-    bytes
-}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod frame;
 pub mod h1;
 pub mod http;
+pub mod memory;
 pub mod object_store;
