One memory budget and a bound of connections for a daemon

Bodies of requests, responses that wait and frames on links are charged to a budget derived from mesh.memory_mb; connections of callers are bounded by mesh.descriptors_max.

--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -63,6 +63,8 @@
     KeyRefused = 2013,
     /// The client account has used up its quota.
     QuotaExceeded = 2014,
+    /// The daemon's memory budget has no room for the request.
+    MemoryFull = 2015,
     /// The connection failed after the request was forwarded, before an answer arrived.
     AnswerLost = 2101,
     /// The deadline passed after the request was forwarded.
@@ -124,7 +126,8 @@
             | Self::WrongInstance
             | Self::TargetUnreachable
             | Self::DaemonNotReady
-            | Self::ConfigOutdated => 503,
+            | Self::ConfigOutdated
+            | Self::MemoryFull => 503,
             Self::VersionUndecodable
             | Self::VersionDigestMismatch
             | Self::VersionPoolMissing
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -57,6 +57,8 @@
     PeerRefused = 700,
     InputRefused = 701,
     AcceptFailed = 702,
+    /// A caller's request was refused or its connection closed, because a bound was reached.
+    ClientBounded = 703,
     RequestFailed = 800,
     AttemptRepeated = 801,
     HeaderDropped = 802,
--- a/crates/core/src/log_rate_limit.rs
+++ b/crates/core/src/log_rate_limit.rs
@@ -44,7 +44,8 @@
         | Event::DoorRefused
         | Event::HandOverFailed
         | Event::RequestCancelled
-        | Event::HeaderDropped => FAILURE_PER_S,
+        | Event::HeaderDropped
+        | Event::ClientBounded => FAILURE_PER_S,
         _ => OTHER_PER_S,
     }
 }
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -188,6 +188,7 @@
         | Event::TargetUnreachable
         | Event::HeaderDropped
         | Event::AcceptFailed
+        | Event::ClientBounded
         | Event::InputRefused => log::warn!(event = number, name = name.as_str(); "{detail}"),
         _ => log::info!(event = number, name = name.as_str(); "{detail}"),
     }
--- a/crates/daemon/src/mesh/bodies.rs
+++ b/crates/daemon/src/mesh/bodies.rs
@@ -4,7 +4,7 @@
 use super::Mesh;
 use super::links::{FrameSender, encode};
 use async_channel::{Receiver, Sender};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use event_listener::Event as Notify;
 use futures_lite::future::or;
 use pomeloreach_core::code::ResultCode;
@@ -15,8 +15,6 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// The largest body that a peer may offer, in bytes.
-const BODY_BYTES_MAX: u64 = 16 * 1024 * 1024;
 /// The longest pause between two looks at offers that wait, in milliseconds.
 const POLL_MS_MAX: u64 = 25;
 /// Bits per second in a megabit per second, divided by the bits of a byte and the milliseconds of a
@@ -92,22 +90,22 @@
     frames: FrameSender,
 ) -> Result<Bytes, ResultCode> {
     let body_bytes = request.request.body_bytes;
-    if body_bytes > BODY_BYTES_MAX {
-        return Err(ResultCode::TargetFull);
-    }
+    let capacity = usize::try_from(body_bytes).map_err(|_| ResultCode::MemoryFull)?;
     let (refusal, refused) = async_channel::bounded(1);
     let _guard = offer(mesh, request, OfferedCall { call_id, frames, refusal })?;
     let receiving = async {
-        let mut body = BytesMut::new();
-        while (body.len() as u64) < body_bytes {
+        // An offer that waits for its turn needs no memory.
+        let first = parts.recv().await.map_err(|_| ResultCode::RequestCut)?;
+        let charge = mesh.memory.try_charge(capacity).ok_or(ResultCode::MemoryFull)?;
+        let mut body = Vec::new();
+        body.try_reserve_exact(capacity).map_err(|_| ResultCode::MemoryFull)?;
+        body.extend_from_slice(&first);
+        drop(first);
+        while body.len() < capacity {
             let part = parts.recv().await.map_err(|_| ResultCode::RequestCut)?;
             body.extend_from_slice(&part);
         }
-        if body.len() as u64 == body_bytes {
-            Ok(body.freeze())
-        } else {
-            Err(ResultCode::RequestCut)
-        }
+        if body.len() == capacity { Ok(charge.attach(body)) } else { Err(ResultCode::RequestCut) }
     };
     let refusing = async { Err(refused.recv().await.unwrap_or(ResultCode::TargetDraining)) };
     let received = within_ms(request.request.left_ms, or(receiving, refusing)).await;
--- a/crates/daemon/src/mesh/callers.rs
+++ b/crates/daemon/src/mesh/callers.rs
@@ -1,17 +1,40 @@
 //! The HTTP port where callers and the local target send their requests.
 
+use super::caller_connections::{Admission, CallerConnections};
 use super::{Mesh, listener, request};
-use async_net::TcpListener;
+use crate::logging::log_with;
+use async_net::{TcpListener, TcpStream};
 use bytes::Bytes;
+use futures_lite::AsyncWriteExt;
+use futures_lite::future::{or, poll_once};
 use http::{Request, Response};
-use pomeloreach_wire::h1::server::{self, ServerLimits, Service};
+use pomeloreach_core::event::Event;
+use pomeloreach_wire::h1::server::{self, Bound, SOCKET_BUFFER_BYTES, ServerLimits, Service};
+use pomeloreach_wire::memory::Memory;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
-
-/// The largest request body that is accepted, whatever the configuration allows, in bytes: a VM may
-/// have no more than 100 MB of memory.
-const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
+use std::sync::Arc;
+
+/// The memory that a daemon needs apart from buffers, in MiB: some 15 when it is idle, and its tables.
+const PROCESS_MB: u64 = 24;
+/// The share of the rest that the budget has, as one part of this many. The other part is for what
+/// cannot be charged: idle connections, unread bytes that the system holds, and the copies and gaps
+/// that an allocation leaves when it grows.
+const BUDGET_DIVISOR: u64 = 2;
+/// The largest body is smaller than the largest request by one part of this many, which is left for
+/// heads and other requests.
+const BODY_MARGIN_DIVISOR: usize = 8;
+/// What a connection gets that is not served.
+const FULL_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
+                               content-length: 0\r\nconnection: close\r\n\r\n";
+
+/// The memory budget of a daemon on a VM with so much memory.
+pub fn memory_budget(memory_mb: u64) -> Arc<Memory> {
+    let budget_bytes = memory_mb.saturating_sub(PROCESS_MB) * 1024 * 1024 / BUDGET_DIVISOR;
+    Memory::new(usize::try_from(budget_bytes).unwrap_or(usize::MAX))
+}
 
 /// Serves HTTP connections with a service until the service stops.
 pub async fn serve_http<S: Service + Clone + 'static>(
@@ -27,32 +50,34 @@
     listener::serve_each(&mesh, listener, service.stopped(), serve).await;
 }
 
-/// Serves callers until the daemon reads no further requests. Counts their open connections.
+/// Serves callers until the daemon reads no further requests.
 pub async fn serve_callers(mesh: Rc<Mesh>, listener: TcpListener) {
-    let serve = |stream| {
-        let connection = ConnectionGuard::new(&mesh);
-        let mesh = mesh.clone();
-        async move {
-            server::serve(&mesh.executor, stream, &CallerService(mesh.clone())).await;
-            drop(connection);
-        }
-    };
+    // Connections inherit it. A failure leaves the system's own size.
+    set_socket_recv_buffer_size(&listener, SOCKET_BUFFER_BYTES).ok();
+    let serve = |stream| serve_caller(mesh.clone(), stream);
     listener::serve_each(&mesh, listener, mesh.stopped(), serve).await;
 }
 
-/// Counts a connection of a caller as open until it is dropped.
-struct ConnectionGuard(Rc<Mesh>);
-
-impl ConnectionGuard {
-    fn new(mesh: &Rc<Mesh>) -> Self {
-        mesh.caller_connections.set(mesh.caller_connections.get() + 1);
-        Self(mesh.clone())
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.caller_connections.set(self.0.caller_connections.get() - 1);
+/// Serves a connection, unless there are too many: the descriptors are needed for the rest.
+fn serve_caller(mesh: Rc<Mesh>, stream: TcpStream) -> impl Future<Output = ()> + 'static {
+    let admission = CallerConnections::add(&mesh);
+    async move {
+        let service = CallerService(mesh.clone());
+        match admission {
+            Admission::Full => {
+                service.bound_reached(Bound::Connections);
+                // The client may have closed the connection; nothing waits for it to read this.
+                poll_once(stream.clone().write_all(FULL_RESPONSE)).await;
+            }
+            Admission::Served { connection, has_closed } => {
+                if has_closed {
+                    service.bound_reached(Bound::Descriptors);
+                }
+                let activity = connection.activity.clone();
+                let serving = server::serve_observed(&mesh.executor, stream, &service, activity);
+                or(serving, connection.closed()).await;
+            }
+        }
     }
 }
 
@@ -77,9 +102,11 @@
 
     fn limits(&self) -> ServerLimits {
         let limits = self.0.config.limits();
+        let request_bytes_max = self.0.memory.request_bytes_max();
+        let budget_max = request_bytes_max - request_bytes_max / BODY_MARGIN_DIVISOR;
         ServerLimits {
             header_bytes_max: limits.header_bytes_max as usize,
-            body_bytes_max: (limits.body_bytes_max as usize).min(BODY_BYTES_MAX),
+            body_bytes_max: (limits.body_bytes_max as usize).min(budget_max),
             header_timeout_ms: limits.header_timeout_ms.into(),
             idle_timeout_ms: limits.idle_timeout_ms.into(),
         }
@@ -89,6 +116,26 @@
         request::refuse_without_config(&self.0, head.map(Request::headers))
     }
 
+    fn memory(&self) -> Arc<Memory> {
+        self.0.memory.clone()
+    }
+
+    fn overloaded(&self, head: Option<&Request<()>>) -> Response<Bytes> {
+        request::refuse_without_memory(&self.0, head.map(Request::headers))
+    }
+
+    fn bound_reached(&self, bound: Bound) {
+        self.0.metrics.bound_reached(bound);
+        log_with(Event::ClientBounded, || {
+            let (memory, connections) = (&self.0.memory, self.0.caller_connections.count());
+            let (used, total) = (memory.used_bytes(), memory.total_bytes());
+            format!(
+                "bound={bound} memory_used_bytes={used} memory_budget_bytes={total} \
+                 connections={connections}"
+            )
+        });
+    }
+
     fn is_draining(&self) -> bool {
         self.0.is_stopping.get()
     }
--- a/crates/daemon/src/mesh/forward.rs
+++ b/crates/daemon/src/mesh/forward.rs
@@ -101,7 +101,10 @@
         }
     }
     let addr = mesh.mesh_settings.borrow().target_addr;
-    let connected = Connection::open(addr, CONNECT_TIMEOUT_MS).await;
+    let mut connected = Connection::open(addr, CONNECT_TIMEOUT_MS).await;
+    if let Ok(connection) = &mut connected {
+        connection.set_memory(mesh.memory.clone());
+    }
     connected.map_err(|error| {
         log_event(Event::TargetUnreachable, &format!("reason={error}"));
         mesh.local_target.borrow_mut().mark_unreachable();
--- a/crates/daemon/src/mesh/incoming_links.rs
+++ b/crates/daemon/src/mesh/incoming_links.rs
@@ -11,6 +11,7 @@
 use async_net::{TcpListener, TcpStream};
 use bytes::Bytes;
 use futures_lite::future::pending;
+use pomeloreach_core::code::ResultCode;
 use pomeloreach_core::event::Event;
 use pomeloreach_core::mesh::dissemination::Distance;
 use pomeloreach_core::mesh::message::{CallResult, InboundRequest, InboundResponse, LinkMessage};
@@ -55,7 +56,7 @@
         return Err(LinkError::UnexpectedMessage);
     };
     let (name, region, zone) = (sender.name.clone(), sender.region.clone(), sender.zone.clone());
-    let (frames, queued) = FrameSender::new();
+    let (frames, queued) = FrameSender::new(mesh.memory.clone());
     let known_count = daemon_count(mesh);
     let departed = mesh.peers.borrow().departed();
     if let Some(start) = recent_target {
@@ -103,7 +104,7 @@
                 LinkMessage::Call(mut call) => {
                     let transit_ms = transit.transit_ms(call.sent_ms, boot_ms());
                     call.request.elapse(transit_ms);
-                    serve_call(mesh, call.call_id, call.request, &running, &frames);
+                    serve_complete_call(mesh, call.call_id, call.request, &running, &frames);
                 }
                 LinkMessage::CallOffer(mut call) => {
                     let transit_ms = transit.transit_ms(call.sent_ms, boot_ms());
@@ -144,6 +145,26 @@
 
 type RunningCalls = Rc<RefCell<BTreeMap<u64, RunningCall>>>;
 
+/// Starts a call that came with its body, or refuses it if the memory budget has no room for the body.
+fn serve_complete_call(
+    mesh: &Rc<Mesh>,
+    call_id: u64,
+    mut request: InboundRequest,
+    running: &RunningCalls,
+    frames: &FrameSender,
+) {
+    let body = std::mem::take(&mut request.body);
+    if body.is_empty() {
+        serve_call(mesh, call_id, request, running, frames);
+    } else if let Some(charge) = mesh.memory.try_charge(body.len()) {
+        request.body = charge.attach(body);
+        serve_call(mesh, call_id, request, running, frames);
+    } else {
+        let response = inbound::refuse(mesh, &request, ResultCode::MemoryFull);
+        send_result(mesh, frames, call_id, response);
+    }
+}
+
 /// Starts a call of a peer at the local inbound proxy, and sends its result on the link.
 fn serve_call(
     mesh: &Rc<Mesh>,
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -17,6 +17,7 @@
 use pomeloreach_core::mesh::state::DaemonRecord;
 use pomeloreach_wire::clock::{sleep_ms, within_ms};
 use pomeloreach_wire::frame::{self, FrameError};
+use pomeloreach_wire::memory::Memory;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::Shutdown;
@@ -27,6 +28,8 @@
 const MESSAGE_BYTES_MAX: usize = 20 * 1024 * 1024;
 /// The largest number of frames that are queued on a link; further ones are refused.
 const QUEUED_FRAMES_MAX: usize = 512;
+/// Queued frames are joined into one write up to this size, in bytes; larger ones are not copied.
+const JOINED_BYTES_MAX: usize = 64 * 1024;
 /// The size of a link's read buffer, in bytes. Larger reads bypass it.
 const READ_BUFFER_BYTES: usize = 2 * 1024;
 /// How long connecting, and then waiting for the first message of the peer, may each take, in
@@ -39,6 +42,8 @@
 #[derive(Clone)]
 pub struct FrameSender {
     frames: Sender<Bytes>,
+    /// The budget that queued frames are charged to.
+    memory: Arc<Memory>,
     unwritten_count: Rc<Cell<usize>>,
 }
 
@@ -50,17 +55,17 @@
 }
 
 impl FrameSender {
-    pub fn new() -> (Self, QueuedFrames) {
+    pub fn new(memory: Arc<Memory>) -> (Self, QueuedFrames) {
         let (sender, receiver) = async_channel::unbounded();
         let unwritten_count = Rc::new(Cell::new(0));
         let queued = QueuedFrames { frames: receiver, unwritten_count: unwritten_count.clone() };
-        (Self { frames: sender, unwritten_count }, queued)
+        (Self { frames: sender, memory, unwritten_count }, queued)
     }
 
     /// Queues a frame. Returns false if the queue is closed or full.
     pub fn send(&self, frame: Bytes) -> bool {
-        let is_queued =
-            self.frames.len() < QUEUED_FRAMES_MAX && self.frames.try_send(frame).is_ok();
+        let is_queued = self.frames.len() < QUEUED_FRAMES_MAX
+            && self.frames.try_send(self.memory.charged(frame)).is_ok();
         self.unwritten_count.set(self.unwritten_count.get() + usize::from(is_queued));
         is_queued
     }
@@ -159,8 +164,17 @@
     }
 }
 
+/// Encodes a message as a frame, in an allocation that need not grow for its body.
 pub fn encode(message: &LinkMessage) -> Bytes {
-    Bytes::from(frame::encode(message))
+    let body_bytes = match message {
+        LinkMessage::Call(call) | LinkMessage::CallOffer(call) => call.request.body.len(),
+        LinkMessage::BodyPart { bytes, .. } | LinkMessage::ConfigDelta { delta: bytes } => {
+            bytes.len()
+        }
+        LinkMessage::CallResult(result) => result.response.body.len(),
+        _ => 0,
+    };
+    Bytes::from(frame::encode_with(message, body_bytes))
 }
 
 /// The receiving half of a link.
@@ -178,7 +192,9 @@
 
     /// Reads the next message and counts it. Waits for it for `timeout_ms` at most.
     pub async fn read(&mut self, mesh: &Mesh, timeout_ms: u64) -> Result<LinkMessage, LinkError> {
-        let reading = frame::read_sized::<LinkMessage, _>(&mut self.stream, MESSAGE_BYTES_MAX);
+        let charge = |bytes| mesh.memory.charge(bytes);
+        let reading =
+            frame::read_charged::<LinkMessage, _, _>(&mut self.stream, MESSAGE_BYTES_MAX, charge);
         let result = within_ms(timeout_ms, reading).await.ok_or(LinkError::TimedOut)?;
         let (message, bytes) = result.map_err(LinkError::Frame)?;
         let bytes = bytes as u64;
@@ -204,23 +220,43 @@
     Duplicate,
 }
 
-/// Writes queued frames, joining all that are available into one write. Then shuts the stream down
+/// Writes queued frames, joining small ones that are available into one write. Then shuts the stream down
 /// in the directions of `shutdown`.
 pub async fn write_frames(mut stream: TcpStream, queued: QueuedFrames, shutdown: Shutdown) {
     let QueuedFrames { frames, unwritten_count } = queued;
     let mut shutdown = shutdown;
-    while let Ok(first) = frames.recv().await {
+    // A frame that was too large to be joined to those before it.
+    let mut next = None;
+    loop {
+        let first = match next.take() {
+            Some(frame) => frame,
+            None => match frames.recv().await {
+                Ok(frame) => frame,
+                Err(_) => break,
+            },
+        };
         let mut bytes = first;
         let mut count = 1;
-        if let Ok(second) = frames.try_recv() {
-            let mut joined = bytes.to_vec();
-            joined.extend_from_slice(&second);
-            count += 1;
-            while let Ok(more) = frames.try_recv() {
-                joined.extend_from_slice(&more);
+        if bytes.len() <= JOINED_BYTES_MAX
+            && let Ok(second) = frames.try_recv()
+        {
+            let mut joined = Vec::new();
+            next = Some(second);
+            while let Some(frame) = next.take() {
+                if joined.len().max(bytes.len()) + frame.len() > JOINED_BYTES_MAX {
+                    next = Some(frame);
+                    break;
+                }
+                if joined.is_empty() {
+                    joined.extend_from_slice(&bytes);
+                }
+                joined.extend_from_slice(&frame);
                 count += 1;
+                next = frames.try_recv().ok();
+            }
+            if !joined.is_empty() {
+                bytes = joined.into();
             }
-            bytes = joined.into();
         }
         if stream.write_all(&bytes).await.is_err() {
             shutdown = Shutdown::Both;
--- a/crates/daemon/src/mesh/listener.rs
+++ b/crates/daemon/src/mesh/listener.rs
@@ -3,7 +3,7 @@
 use super::Mesh;
 use crate::logging::log_event;
 use async_net::{TcpListener, TcpStream};
-use futures_lite::future::or;
+use futures_lite::future::{or, yield_now};
 use pomeloreach_core::event::Event;
 use pomeloreach_wire::clock::sleep_ms;
 use std::future::Future;
@@ -22,7 +22,11 @@
     let accepting = async {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => mesh.spawn(serve(stream)),
+                Ok((stream, _)) => {
+                    mesh.spawn(serve(stream));
+                    // Connections that are closed in favour of this one end before the next accept.
+                    yield_now().await;
+                }
                 Err(error) => {
                     log_event(Event::AcceptFailed, &format!("reason={error}"));
                     sleep_ms(ACCEPT_PAUSE_MS).await;
--- a/crates/daemon/src/mesh/metrics.rs
+++ b/crates/daemon/src/mesh/metrics.rs
@@ -5,6 +5,7 @@
 
 use pomeloreach_core::code::ResultCode;
 use pomeloreach_core::mesh::dissemination::Distance;
+use pomeloreach_wire::h1::server::Bound;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -31,6 +32,12 @@
     distance: &'static str,
 }
 
+/// The label of the counter of refusals and closed connections: the name of the bound.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BoundLabels {
+    bound: &'static str,
+}
+
 /// The metrics of one daemon.
 pub struct Metrics {
     registry: Registry,
@@ -50,6 +57,10 @@
     store_failures: Counter,
     link_messages: Family<LinkLabels, Counter>,
     link_bytes: Family<LinkLabels, Counter>,
+    client_bounds: Family<BoundLabels, Counter>,
+    memory_used: Gauge,
+    memory_budget: Gauge,
+    caller_connections: Gauge,
 }
 
 /// The values of the gauges, which are read when the metrics are fetched.
@@ -59,6 +70,9 @@
     pub store_era: Option<u64>,
     pub links: usize,
     pub in_flight: u32,
+    pub memory_used_bytes: usize,
+    pub memory_budget_bytes: usize,
+    pub caller_connections: usize,
 }
 
 impl Default for Metrics {
@@ -83,6 +97,10 @@
             store_failures: Counter::default(),
             link_messages: Family::default(),
             link_bytes: Family::default(),
+            client_bounds: Family::default(),
+            memory_used: Gauge::default(),
+            memory_budget: Gauge::default(),
+            caller_connections: Gauge::default(),
         };
         registry.register("requests", "Requests of callers, by result", metrics.requests.clone());
         registry.register("attempts", "Attempts at targets", metrics.attempts.clone());
@@ -139,6 +157,28 @@
             "Bytes of messages received on links, by kind and by the distance of the sender",
             metrics.link_bytes.clone(),
         );
+        registry.register(
+            "client_bounds",
+            "Requests refused and connections closed because of a bound, by bound",
+            metrics.client_bounds.clone(),
+        );
+        registry.register_with_unit(
+            "memory_used",
+            "The part of the memory budget that is in use",
+            Unit::Bytes,
+            metrics.memory_used.clone(),
+        );
+        registry.register_with_unit(
+            "memory_budget",
+            "The memory budget for bodies and responses",
+            Unit::Bytes,
+            metrics.memory_budget.clone(),
+        );
+        registry.register(
+            "caller_connections",
+            "Open connections of callers",
+            metrics.caller_connections.clone(),
+        );
         Self { registry, ..metrics }
     }
 }
@@ -183,19 +223,31 @@
         self.link_bytes.get_or_create(&labels).inc_by(bytes);
     }
 
+    /// Counts a request that was refused or a connection that was closed because of a bound.
+    pub fn bound_reached(&self, bound: Bound) {
+        self.client_bounds.get_or_create(&BoundLabels { bound: bound.into() }).inc();
+    }
+
     /// All metrics in the OpenMetrics text format.
     pub fn text(&self, gauges: &GaugeValues) -> Result<String, std::fmt::Error> {
         self.version.set(gauges.version.cast_signed());
         self.newest_known_version.set(gauges.newest_known_version.cast_signed());
         self.store_era.set(gauges.store_era.unwrap_or_default().cast_signed());
-        self.links.set(i64::try_from(gauges.links).unwrap_or(i64::MAX));
+        self.links.set(gauge_value(gauges.links));
         self.in_flight.set(gauges.in_flight.into());
+        self.memory_used.set(gauge_value(gauges.memory_used_bytes));
+        self.memory_budget.set(gauge_value(gauges.memory_budget_bytes));
+        self.caller_connections.set(gauge_value(gauges.caller_connections));
         let mut text = String::new();
         text::encode(&mut text, &self.registry)?;
         Ok(text)
     }
 }
 
+fn gauge_value(value: usize) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
 fn result_labels(code: ResultCode) -> ResultLabels {
     ResultLabels { code: code.to_string() }
 }
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod bodies;
+mod caller_connections;
 mod callers;
 mod config;
 mod departures;
@@ -32,6 +33,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_signal::{Signal, Signals};
+use caller_connections::CallerConnections;
 use futures_lite::StreamExt;
 use pomeloreach_core::endpoint::TargetState;
 use pomeloreach_core::event::Event;
@@ -44,6 +46,7 @@
 use pomeloreach_core::mesh::typical_times::TypicalTimes;
 use pomeloreach_core::retry_budget::RetryBudget;
 use pomeloreach_wire::clock::{Clock, sleep_ms, within_ms};
+use pomeloreach_wire::memory::Memory;
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
 use std::cell::{Cell, RefCell};
@@ -108,8 +111,9 @@
     stop: (Sender<()>, Receiver<()>),
     /// Requests of callers that have no response yet.
     pub in_flight: Cell<u32>,
-    /// Connections of callers that are open, also those whose callers are still receiving a response.
-    pub caller_connections: Cell<u32>,
+    pub caller_connections: caller_connections::CallerConnections,
+    /// The budget that bodies of requests and responses are charged to.
+    pub memory: Arc<Memory>,
 }
 
 impl Mesh {
@@ -253,7 +257,8 @@
         is_leaving: Cell::new(false),
         stop: async_channel::bounded(1),
         in_flight: Cell::new(0),
-        caller_connections: Cell::new(0),
+        caller_connections: CallerConnections::new(&mesh_settings, clock),
+        memory: callers::memory_budget(mesh_settings.memory_mb),
         local,
         settings,
         mesh_settings: RefCell::new(Rc::new(mesh_settings)),
@@ -366,7 +371,7 @@
             mesh.stop.0.close();
             mesh.links.report_now();
         }
-        let is_idle = mesh.caller_connections.get() == 0
+        let is_idle = mesh.caller_connections.count() == 0
             && mesh.inbound.in_flight() == 0
             && mesh.links.are_results_written();
         if now_ms >= end_ms
@@ -379,7 +384,7 @@
     let left_ms = end_ms.saturating_sub(mesh.now_ms()).min(LINKS_CLOSE_MS_MAX);
     within_ms(left_ms, mesh.links.close_incoming()).await;
     let (in_flight, at_target) = (mesh.in_flight.get(), mesh.inbound.in_flight());
-    let connections = mesh.caller_connections.get();
+    let connections = mesh.caller_connections.count();
     let took_ms = mesh.now_ms() - started_ms;
     log_event(
         Event::DaemonStopped,
--- a/crates/daemon/src/mesh/operators.rs
+++ b/crates/daemon/src/mesh/operators.rs
@@ -196,6 +196,9 @@
         store_era: mesh.config.store_era(),
         links: mesh.links.outgoing.borrow().len(),
         in_flight: mesh.in_flight.get(),
+        memory_used_bytes: mesh.memory.used_bytes(),
+        memory_budget_bytes: mesh.memory.total_bytes(),
+        caller_connections: mesh.caller_connections.count(),
     };
     match mesh.metrics.text(&gauges) {
         Ok(text) => {
--- a/crates/daemon/src/mesh/outgoing_links.rs
+++ b/crates/daemon/src/mesh/outgoing_links.rs
@@ -91,7 +91,7 @@
 ) -> Result<(), LinkError> {
     // A failure is ignored: without this option, calls only take longer.
     stream.set_nodelay(true).ok();
-    let (frames, queued) = FrameSender::new();
+    let (frames, queued) = FrameSender::new(mesh.memory.clone());
     let recent_target = mesh.peers.borrow().recent_target(dialled, mesh.now_ms());
     let (sender, sent_ms) = (mesh.local.clone(), boot_ms());
     frames.send(encode(&LinkMessage::Hello { sender, sent_ms, recent_target }));
@@ -182,7 +182,8 @@
             mesh.peers.borrow_mut().apply_config(name, config, mesh.now_ms());
             handle_config_state(mesh, name, distance, config);
         }
-        LinkMessage::CallResult(result) => {
+        LinkMessage::CallResult(mut result) => {
+            result.response.body = mesh.memory.charged(result.response.body);
             mesh.peers.borrow_mut().apply_load(name, result.load, mesh.now_ms());
             peer_calls::handle_result(pending, result);
         }
--- a/crates/daemon/src/mesh/peer_calls.rs
+++ b/crates/daemon/src/mesh/peer_calls.rs
@@ -13,6 +13,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+/// A larger body is always offered, also on a link that is fast enough for it: a body that is sent whole
+/// is in memory once more, and is received before the peer can refuse it.
+const SENT_WHOLE_BYTES_MAX: usize = 1024 * 1024;
+
 /// The calls on a link that wait for their results, by call id.
 pub type PendingCalls = Rc<RefCell<BTreeMap<u64, WaitingCall>>>;
 
@@ -95,6 +99,9 @@
 }
 
 fn must_offer(mesh: &Mesh, peer: &str, request: &InboundRequest) -> bool {
+    if request.body.len() > SENT_WHOLE_BYTES_MAX {
+        return true;
+    }
     let peers = mesh.peers.borrow();
     let target = peers.get(peer).and_then(|peer| peer.state.as_ref()?.target.as_ref());
     target.is_some_and(|target| target.load.must_offer(request.body.len() as u64))
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -124,8 +124,28 @@
     Some(refuse(mesh, &request_id.unwrap_or_default(), ResultCode::DaemonNotReady))
 }
 
+/// Refuses a request for which the memory budget has no room. The times after which callers may retry
+/// differ, so that they do not come together again.
+pub fn refuse_without_memory(
+    mesh: &Rc<Mesh>,
+    request_headers: Option<&HeaderMap>,
+) -> Response<Bytes> {
+    let request_id = request_headers.map(|headers| headers::caller_headers(headers).request_id);
+    let retry_after_ms = mesh.with_jitter(NO_TARGET_RETRY_AFTER_MS);
+    refuse_for(mesh, &request_id.unwrap_or_default(), ResultCode::MemoryFull, retry_after_ms)
+}
+
 /// Refuses a request that cannot be routed.
 fn refuse(mesh: &Rc<Mesh>, request_id: &str, code: ResultCode) -> Response<Bytes> {
+    refuse_for(mesh, request_id, code, NO_TARGET_RETRY_AFTER_MS)
+}
+
+fn refuse_for(
+    mesh: &Rc<Mesh>,
+    request_id: &str,
+    code: ResultCode,
+    retry_after_ms: u64,
+) -> Response<Bytes> {
     mesh.metrics.request_ended(code, 0);
     log_with(Event::RequestFailed, || {
         let config = mesh.config_state();
@@ -137,7 +157,7 @@
             config.confirmed_age_ms
         )
     });
-    refusal_response(request_id, code, NO_TARGET_RETRY_AFTER_MS)
+    refusal_response(request_id, code, retry_after_ms)
 }
 
 /// The host that a request names, in lower case and without the port.
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -17,6 +17,12 @@
 /// The smallest and the largest value of `link_mbps`.
 const LINK_MBPS_MIN: f64 = 0.1;
 const LINK_MBPS_MAX: f64 = 400_000.0;
+/// The smallest and the largest value of `memory_mb`. A daemon that is idle needs some 15 MB.
+const MEMORY_MB_MIN: u64 = 32;
+const MEMORY_MB_MAX: u64 = 1_048_576;
+/// The smallest and the largest value of `descriptors_max`.
+const DESCRIPTORS_MIN: u64 = 128;
+const DESCRIPTORS_LIMIT: u64 = 1_048_576;
 /// The largest value of a setting in seconds.
 const SECONDS_MAX: f64 = 86_400.0;
 /// The largest value of `drain_max_ms`, which limits how long a stopping daemon waits for requests.
@@ -121,6 +127,12 @@
     /// The rate of the VM's link, in megabits per second.
     #[serde(default = "default_link_mbps", deserialize_with = "link_mbps")]
     pub link_mbps: f64,
+    /// The memory of the VM, in MiB. Used when the daemon starts.
+    #[serde(default = "default_memory_mb", deserialize_with = "memory_mb")]
+    pub memory_mb: u64,
+    /// The descriptors that this daemon may have open. Used when the daemon starts.
+    #[serde(default = "default_descriptors_max", deserialize_with = "descriptors_max")]
+    pub descriptors_max: u64,
 }
 
 /// The files that a daemon authenticates itself and other daemons with.
@@ -220,6 +232,24 @@
     Err(D::Error::custom(format!("{mbps} is outside {LINK_MBPS_MIN} to {LINK_MBPS_MAX}")))
 }
 
+/// The largest VM in use, so that a daemon without the setting refuses nothing that such a VM can hold.
+fn default_memory_mb() -> u64 {
+    512
+}
+
+/// The smallest limit in use.
+fn default_descriptors_max() -> u64 {
+    4_100
+}
+
+fn memory_mb<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    integer_in_range(deserializer, MEMORY_MB_MIN, MEMORY_MB_MAX)
+}
+
+fn descriptors_max<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    integer_in_range(deserializer, DESCRIPTORS_MIN, DESCRIPTORS_LIMIT)
+}
+
 fn relays_per_zone<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u16, D::Error> {
     u16_up_to(deserializer, RELAYS_PER_ZONE_MAX)
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -11,6 +11,9 @@
 /// The size of the length prefix: a little-endian `u32`.
 const LENGTH_PREFIX_BYTES: usize = 4;
 
+/// The first capacity of a frame, without a body.
+const HEAD_BYTES: usize = 64;
+
 /// Why a frame could not be read.
 #[derive(Debug, Error)]
 pub enum FrameError {
@@ -24,7 +27,14 @@
 
 /// Encodes a message as a frame, including the length prefix.
 pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
-    let mut frame = vec![0; LENGTH_PREFIX_BYTES];
+    encode_with(message, 0)
+}
+
+/// The same as [`encode`], for a message with a body of so many bytes, which need not be copied as the
+/// frame grows.
+pub fn encode_with<T: Serialize>(message: &T, body_bytes: usize) -> Vec<u8> {
+    let mut frame = Vec::with_capacity(HEAD_BYTES + body_bytes);
+    frame.resize(LENGTH_PREFIX_BYTES, 0);
     postcard::to_io(message, &mut frame).expect("messages are always encodable");
     let bytes = u32::try_from(frame.len() - LENGTH_PREFIX_BYTES).expect("messages are below 4 GB");
     frame[..LENGTH_PREFIX_BYTES].copy_from_slice(&bytes.to_le_bytes());
@@ -43,6 +53,16 @@
 pub async fn read_sized<T: DeserializeOwned, R: AsyncRead + Unpin>(
     reader: &mut R,
     bytes_max: usize,
+) -> Result<(T, usize), FrameError> {
+    read_charged(reader, bytes_max, |_| ()).await
+}
+
+/// The same as [`read_sized`]. Calls `charge` with the size of the payload before a buffer is
+/// allocated for it, and drops the result after the message is decoded.
+pub async fn read_charged<T: DeserializeOwned, R: AsyncRead + Unpin, C>(
+    reader: &mut R,
+    bytes_max: usize,
+    charge: impl FnOnce(usize) -> C,
 ) -> Result<(T, usize), FrameError> {
     let mut prefix = [0; LENGTH_PREFIX_BYTES];
     reader.read_exact(&mut prefix).await?;
@@ -50,6 +70,7 @@
     if bytes > bytes_max {
         return Err(FrameError::TooLong { bytes, bytes_max });
     }
+    let _charge = charge(bytes);
     let payload = read_bytes(reader, bytes).await?;
     let message = postcard::from_bytes(&payload).map_err(FrameError::Undecodable)?;
     Ok((message, LENGTH_PREFIX_BYTES + bytes))
