--- a/crates/wire/src/h1/server.rs
+++ b/crates/wire/src/h1/server.rs
@@ -124,6 +124,7 @@
         ConnectionEnd::LastMessageSent => {
             // What waits to be sent is not needed while the client closes the connection.
             drop(receiver);
+            unsent.hold.set_bytes(0);
             close_after_last_message(stream).await;
         }
         ConnectionEnd::Unread(bound) => service.bound_reached(bound),
@@ -344,34 +345,42 @@
         }
     }
     let limits = service.limits();
-    let hold = memory.hold(HolderKind::Request);
-    let mut charge = memory.empty_charge();
     let reading = async {
+        let mut charged = None;
         loop {
             let buffered_bytes = reader.buffered_bytes();
             if let Some(head) = reader.parse_request_head(limits.header_bytes_max)? {
                 return Ok((head, buffered_bytes - reader.buffered_bytes(), limits));
             }
-            if buffered_bytes > UNCHARGED_HEAD_BYTES && charge.bytes() == 0 {
-                let bytes = limits.header_bytes_max;
-                if !charge.try_grow(Some(&hold), bytes, Purpose::Request { bytes }) {
-                    return Err(MessageError::NoMemory);
-                }
-                hold.set_bytes(bytes);
+            if buffered_bytes > UNCHARGED_HEAD_BYTES && charged.is_none() {
+                charged = Some(charge_head(memory, limits.header_bytes_max)?);
             }
-            if !reader.fill().await? {
+            let closing = async {
+                match &charged {
+                    Some((hold, _)) => hold.closed().await,
+                    None => pending().await,
+                }
+                Err(MessageError::NoMemory)
+            };
+            if !or(reader.fill(), closing).await? {
                 return Err(MessageError::Closed);
             }
         }
     };
-    let closing = async {
-        hold.closed().await;
-        Err(MessageError::NoMemory)
-    };
-    let reading = or(reading, closing);
     within_ms(limits.header_timeout_ms, reading).await.unwrap_or(Err(MessageError::TimedOut))
 }
 
+/// Charges an incomplete head with the largest size that it may have.
+fn charge_head(memory: &Arc<Memory>, bytes: usize) -> Result<(Hold, Charge), MessageError> {
+    let hold = memory.hold(HolderKind::Request);
+    let mut charge = memory.empty_charge();
+    if !charge.try_grow(Some(&hold), bytes, Purpose::Request { bytes }) {
+        return Err(MessageError::NoMemory);
+    }
+    hold.set_bytes(bytes);
+    Ok((hold, charge))
+}
+
 /// The reason to stop after a request could not be read.
 fn stop_reason(error: &MessageError) -> Stop {
     match error {
--- a/crates/wire/src/memory/budget.rs
+++ b/crates/wire/src/memory/budget.rs
@@ -166,7 +166,6 @@
     /// Returns memory.
     pub fn release(&mut self, bytes: usize) {
         self.used_bytes = self.used_bytes.saturating_sub(bytes);
-        self.closing_bytes = self.closing_bytes.min(self.used_bytes);
     }
 
     /// The holders that may be closed, with their bytes, in the order in which they are closed.
