--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -144,12 +144,25 @@
     problem: KeyProblem,
 ) -> Response<Bytes> {
     let code = problem.code(mesh.config.version(), mesh.newest_known_version());
-    refuse_with(mesh, request_id, code, &format!(" reason={problem} route={}", route.name))
+    let detail = format!(" reason={problem} route={}", route.name);
+    refuse_with(mesh, request_id, code, NO_TARGET_RETRY_AFTER_MS, &detail)
+}
+
+/// Refuses a request for which the memory budget has no room. The times after which callers may retry
+/// differ, so that they do not come together again.
+pub fn refuse_without_memory(
+    mesh: &Rc<Mesh>,
+    request_headers: Option<&HeaderMap>,
+) -> Response<Bytes> {
+    let request_id = request_headers.map(|headers| headers::caller_headers(headers).request_id);
+    let retry_after_ms = mesh.with_jitter(NO_TARGET_RETRY_AFTER_MS);
+    let request_id = request_id.unwrap_or_default();
+    refuse_with(mesh, &request_id, ResultCode::MemoryFull, retry_after_ms, "")
 }
 
 /// Refuses a request that cannot be routed.
 fn refuse(mesh: &Rc<Mesh>, request_id: &str, code: ResultCode) -> Response<Bytes> {
-    refuse_with(mesh, request_id, code, "")
+    refuse_with(mesh, request_id, code, NO_TARGET_RETRY_AFTER_MS, "")
 }
 
 /// Refuses a request before a target is chosen. `detail` is added to the log line.
@@ -157,6 +170,7 @@
     mesh: &Rc<Mesh>,
     request_id: &str,
     code: ResultCode,
+    retry_after_ms: u64,
     detail: &str,
 ) -> Response<Bytes> {
     mesh.metrics.request_ended(code, 0);
@@ -170,7 +184,7 @@
             config.confirmed_age_ms
         )
     });
-    refusal_response(request_id, code, NO_TARGET_RETRY_AFTER_MS)
+    refusal_response(request_id, code, retry_after_ms)
 }
 
 /// The host that a request names, in lower case and without the port.
