--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod placer;
 pub mod published;
+pub mod quota;
 pub mod readers;
 pub mod retry_after;
 pub mod round_robin;
--- /dev/null
+++ b/crates/core/tests/quota_schedules.rs
@@ -0,0 +1,175 @@
+//! Quotas over a simulated fleet: the allowance holds under random faults, and what is within the
+//! limit is served.
+
+mod quota_fleet;
+
+use pomeloreach_core::account::QuotaLimit;
+use pomeloreach_core::mesh::quota::QuotaTerms;
+use proptest::prelude::*;
+use quota_fleet::{Fleet, LinkFaults, most_in_window};
+
+/// The number of zones and of daemons in each, for the schedules with faults.
+const ZONES: usize = 3;
+const PER_ZONE: usize = 4;
+/// The window of the default terms.
+const WINDOW_MS: u64 = 5_000;
+/// How long a version may take until all daemons have it.
+const CONFIG_APPLY_MS: u64 = 3_000;
+
+fn limit(rate_per_s: f64, burst: f64) -> QuotaLimit {
+    QuotaLimit {
+        rate_milli_per_s: (rate_per_s * 1_000.0) as u64,
+        burst_milli: (burst * 1_000.0) as u64,
+    }
+}
+
+/// One step of a schedule.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Kill { daemon: usize },
+    Start { daemon: usize },
+    RestartZone { zone: usize },
+    CutZone { zone: usize },
+    CutDaemon { daemon: usize },
+    Heal,
+    Pause { daemon: usize, ms: u64 },
+    LowerLimits,
+    /// All demand moves to one zone.
+    Shift { zone: usize },
+    /// Daemons have each the same demand.
+    Spread,
+    Idle,
+}
+
+fn steps() -> impl Strategy<Value = Vec<(u64, Step)>> {
+    let daemon = 0..ZONES * PER_ZONE;
+    let step = prop_oneof![
+        2 => daemon.clone().prop_map(|daemon| Step::Kill { daemon }),
+        3 => daemon.clone().prop_map(|daemon| Step::Start { daemon }),
+        1 => (0..ZONES).prop_map(|zone| Step::RestartZone { zone }),
+        2 => (0..ZONES).prop_map(|zone| Step::CutZone { zone }),
+        2 => daemon.clone().prop_map(|daemon| Step::CutDaemon { daemon }),
+        3 => Just(Step::Heal),
+        2 => (daemon, 100..6_000u64).prop_map(|(daemon, ms)| Step::Pause { daemon, ms }),
+        1 => Just(Step::LowerLimits),
+        3 => (0..ZONES).prop_map(|zone| Step::Shift { zone }),
+        2 => Just(Step::Spread),
+        1 => Just(Step::Idle),
+    ];
+    prop::collection::vec((50..1_500u64, step), 4..24)
+}
+
+/// The demand of all daemons together, as a multiple of the limits of 400, 40 and 4 a second.
+const DEMAND: f64 = 4.0;
+const RATES: [f64; 3] = [400.0, 40.0, 4.0];
+
+fn apply(fleet: &mut Fleet, step: Step) {
+    let demand = |share: f64| RATES.iter().map(|rate| rate * DEMAND * share).collect::<Vec<_>>();
+    let count = fleet.daemons.len();
+    match step {
+        Step::Kill { daemon } => fleet.kill(daemon),
+        Step::Start { daemon } if fleet.daemons[daemon].node.is_none() => fleet.start(daemon),
+        Step::Start { .. } => {}
+        Step::RestartZone { zone } => {
+            for daemon in (0..count).filter(|daemon| daemon % ZONES == zone) {
+                fleet.start(daemon);
+            }
+        }
+        Step::CutZone { zone } => {
+            fleet.daemons.iter_mut().filter(|daemon| daemon.zone == zone).for_each(|daemon| {
+                daemon.group = zone + 1;
+            });
+        }
+        Step::CutDaemon { daemon } => fleet.daemons[daemon].group = 100 + daemon,
+        Step::Heal => fleet.daemons.iter_mut().for_each(|daemon| daemon.group = 0),
+        Step::Pause { daemon, ms } => fleet.pause(daemon, ms),
+        Step::LowerLimits => {
+            let lower = |limit: &QuotaLimit| QuotaLimit {
+                rate_milli_per_s: limit.rate_milli_per_s / 2,
+                burst_milli: limit.burst_milli / 2,
+            };
+            let limits = fleet.limits.iter().map(|(name, limit)| (name.clone(), lower(limit)));
+            let limits = limits.collect();
+            fleet.set_limits(limits);
+        }
+        Step::Shift { zone } => {
+            for daemon in 0..count {
+                let share = if daemon % ZONES == zone { 1.0 / PER_ZONE as f64 } else { 0.0 };
+                fleet.set_rates(daemon, demand(share));
+            }
+        }
+        Step::Spread => {
+            (0..count).for_each(|daemon| fleet.set_rates(daemon, demand(1.0 / count as f64)));
+        }
+        Step::Idle => (0..count).for_each(|daemon| fleet.set_rates(daemon, demand(0.0))),
+    }
+}
+
+/// Checks every window against the highest limits that were in force shortly before it.
+fn check_allowance(fleet: &Fleet, changes: &[(u64, usize)]) -> Result<(), TestCaseError> {
+    for (account, runs) in fleet.runs.iter().enumerate() {
+        let rate = RATES[account];
+        // The limit is halved at each change, and binds one window after all daemons have it.
+        let mut from_ms = 0;
+        let mut until = changes.iter().copied().chain([(u64::MAX, 0)]);
+        let mut halvings = 0;
+        loop {
+            let Some((change_ms, changed_halvings)) = until.next() else { break };
+            let end_ms = change_ms.saturating_add(CONFIG_APPLY_MS + WINDOW_MS);
+            let allowed = QuotaTerms::default()
+                .allowance(limit(rate / f64::from(1 << halvings), rate / f64::from(1 << halvings)));
+            let in_force: Vec<u64> =
+                runs.iter().copied().filter(|at| *at >= from_ms && *at < end_ms).collect();
+            let most = most_in_window(&in_force, WINDOW_MS);
+            prop_assert!(
+                most as f64 <= allowed + 1e-6,
+                "account {account}: {most} in a window, {allowed} allowed"
+            );
+            from_ms = change_ms.saturating_add(CONFIG_APPLY_MS);
+            halvings = changed_halvings;
+        }
+    }
+    Ok(())
+}
+
+fn run_schedule(seed: u64, faults: LinkFaults, steps: &[(u64, Step)]) -> Result<(), TestCaseError> {
+    let limits: Vec<QuotaLimit> = RATES.iter().map(|rate| limit(*rate, *rate)).collect();
+    let mut fleet = Fleet::new(ZONES, PER_ZONE, &limits, seed);
+    fleet.faults = faults;
+    apply(&mut fleet, Step::Spread);
+    fleet.run_until(6_000);
+    let mut changes = Vec::new();
+    for (pause_ms, step) in steps {
+        // At most three times, so that the limits stay above zero.
+        if matches!(step, Step::LowerLimits) && changes.len() == 3 {
+            continue;
+        }
+        apply(&mut fleet, *step);
+        if matches!(step, Step::LowerLimits) {
+            changes.push((fleet.now_ms, changes.len() + 1));
+        }
+        let end_ms = fleet.now_ms + pause_ms;
+        fleet.run_until(end_ms);
+    }
+    let end_ms = fleet.now_ms + 6_000;
+    fleet.run_until(end_ms);
+    check_allowance(&fleet, &changes)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
+
+    /// The requests of all daemons together exceed an allowance: a share is used twice, or credit is
+    /// doubled, after some order of faults.
+    #[test]
+    fn allowance_holds_under_faults(
+        seed in any::<u64>(),
+        lost in 0.0..0.1f64,
+        late in 0.0..0.2f64,
+        late_ms in 0..4_000u64,
+        wrong_keeper in 0.0..0.1f64,
+        steps in steps(),
+    ) {
+        run_schedule(seed, LinkFaults { lost, late, late_ms, wrong_keeper }, &steps)?;
+    }
+}
