--- a/crates/core/src/mesh/quota/node.rs
+++ b/crates/core/src/mesh/quota/node.rs
@@ -12,7 +12,7 @@
 
 /// The shortest time between two requests to the keeper: what is wanted meanwhile shares one
 /// message.
-const REQUEST_INTERVAL_MS: u64 = 15;
+const REQUEST_INTERVAL_MS: u64 = 25;
 /// Rates are sent in thousandths of a request per second.
 const MILLI_PER_S_IN_PER_MS: f64 = 1e6;
 
--- a/crates/core/src/mesh/quota/pool.rs
+++ b/crates/core/src/mesh/quota/pool.rs
@@ -10,6 +10,8 @@
 /// How much more than the present demand of an account a keeper wants or keeps, so that random
 /// fluctuation is not refused.
 const DEMAND_MARGIN: f64 = 1.25;
+/// With less credit than this a bucket counts as low, however small it is.
+const LOW_TOKENS: f64 = 2.0;
 /// The longest time that is reported as the wait for credit.
 const WAIT_MS_MAX: f64 = 10_000.0;
 
@@ -94,9 +96,8 @@
     fn wanted_per_ms(&self, shares: &Shares, now_ms: u64) -> f64 {
         let own = self.limit.rate_per_ms * shares.count(now_ms) / shares.daemons.max(1) as f64;
         let kept = (own - self.loans.lent_per_ms()).max(0.0);
-        // Light accounts have seldom more than one request in the time of the average. A bucket that
-        // is still half full covers them.
-        let is_low = self.tokens < self.capacity(shares, now_ms) / 2.0;
+        // A bucket that is half full covers random fluctuation.
+        let is_low = self.tokens < (self.capacity(shares, now_ms) / 2.0).max(LOW_TOKENS);
         let is_borrowing = self.loans.borrowed_per_ms(now_ms) > 0.0;
         if !is_low && !is_borrowing {
             return 0.0;
