--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -25,6 +25,8 @@
     /// Edits up to a version may now be removed from the log of edits in the store.
     LogCollected = 205,
     EditPublished = 206,
+    /// The version in force has the first accounts with a quota.
+    QuotasInForce = 207,
     RelayClaimed = 300,
     RelayLost = 301,
     /// The daemon acquired the leader role.
@@ -38,6 +40,8 @@
     PeerJoined = 405,
     PeerLost = 406,
     RecordsResynced = 407,
+    /// Another daemon keeps the quotas of the zone.
+    QuotaKeeperChanged = 408,
     TargetAnnounced = 500,
     TargetLapsed = 501,
     /// An endpoint record was marked as gone.
--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -7,6 +7,7 @@
 use crate::call::{CallRequest, CallResponse};
 use crate::code::ResultCode;
 use crate::mesh::heartbeat::TargetStart;
+use crate::mesh::quota::{CreditGrant, CreditRequest, LoanMessage};
 use crate::mesh::state::{ConfigState, DaemonRecord, DaemonState, TargetLoad};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -65,6 +66,12 @@
     /// A [`crate::mesh::delta::Delta`] as compressed JSON, because rows omit default values, which
     /// the binary encoding of the links cannot express.
     ConfigDelta { delta: Bytes },
+    /// Requests credit for accounts with a quota from the keeper of the zone.
+    CreditRequest(CreditRequest),
+    /// The keeper's response to a request for credit.
+    CreditGrant(CreditGrant),
+    /// Requests or grants loans between the keepers of two zones.
+    Loan(LoanMessage),
 }
 
 /// An inbound request that is sent over a link.
--- a/crates/core/src/mesh/peers.rs
+++ b/crates/core/src/mesh/peers.rs
@@ -112,11 +112,40 @@
     /// Targets that have left, including those whose daemon has restarted since and does not know
     /// that they left.
     departed: DepartedTargets,
+    /// Whether an account has a quota, for which links to the first daemons of the zone are needed.
+    has_quotas: bool,
 }
 
 impl Peers {
     pub fn new(local: DaemonRecord) -> Self {
-        Self { local, peers: BTreeMap::new(), departed: DepartedTargets::default() }
+        let departed = DepartedTargets::default();
+        Self { local, peers: BTreeMap::new(), departed, has_quotas: false }
+    }
+
+    /// Sets whether an account has a quota.
+    pub fn set_has_quotas(&mut self, has_quotas: bool) {
+        self.has_quotas = has_quotas;
+    }
+
+    /// The daemon that keeps the quotas of the zone: the first by name of the linked ones that do not
+    /// stop, if it comes before this daemon.
+    pub fn zone_keeper(&self) -> Option<&DaemonRecord> {
+        let first = self.quota_candidates().find(|peer| peer.record.zone == self.local.zone)?;
+        (first.record.name < self.local.name).then_some(&first.record)
+    }
+
+    /// The daemons to ask for loans of quotas: the first linked one of each other zone by name.
+    pub fn quota_lenders(&self) -> Vec<Arc<str>> {
+        let mut first: BTreeMap<&str, &Arc<str>> = BTreeMap::new();
+        for peer in self.quota_candidates().filter(|peer| peer.record.zone != self.local.zone) {
+            first.entry(&peer.record.zone).or_insert(&peer.record.name);
+        }
+        first.into_values().cloned().collect()
+    }
+
+    /// The linked peers that do not stop, in the order of their names.
+    fn quota_candidates(&self) -> impl Iterator<Item = &Peer> {
+        self.linked().filter(|peer| peer.state.as_ref().is_none_or(|state| !state.leaving))
     }
 
     /// Records that a target has left.
@@ -189,7 +218,7 @@
 
     /// The names of the peers to which this daemon should have links.
     pub fn wanted_links(&self, now_ms: u64) -> BTreeSet<Arc<str>> {
-        topology::wanted_links(&self.local, self.peers.values(), now_ms)
+        topology::wanted_links(&self.local, self.peers.values(), self.has_quotas, now_ms)
     }
 
     /// The records of all known daemons including this one.
--- a/crates/core/src/mesh/quota/node.rs
+++ b/crates/core/src/mesh/quota/node.rs
@@ -3,8 +3,8 @@
 use super::drawer::{Credit, Drawer};
 use super::pool::Pool;
 use super::{
-    AccountRate, CreditGrant, CreditRequest, DELEGATION_MS, FleetLimit,
-    GrantedCredit, LOAN_INTERVAL_MS, LoanGrant, LoanRequest, QuotaTerms, RENEWAL_MS, START_MS,
+    AccountRate, CreditGrant, CreditRequest, DELEGATION_MS, FleetLimit, GrantedCredit,
+    LOAN_INTERVAL_MS, LoanGrant, LoanRequest, QuotaTerms, RENEWAL_MS, START_MS,
 };
 use crate::account::QuotaLimit;
 use std::collections::BTreeMap;
@@ -36,7 +36,9 @@
     Unlimited,
     Taken(Credit),
     /// There is no credit here. If `wait_ms` is known, there may be some after that time.
-    Empty { wait_ms: Option<u64> },
+    Empty {
+        wait_ms: Option<u64>,
+    },
 }
 
 /// The quotas of one daemon.
--- a/crates/core/src/mesh/quota/pool.rs
+++ b/crates/core/src/mesh/quota/pool.rs
@@ -12,6 +12,8 @@
 const DEMAND_MARGIN: f64 = 1.25;
 /// With less credit than this a bucket counts as low, however small it is.
 const LOW_TOKENS: f64 = 2.0;
+/// The time for which refused requests are assumed to come back before a new one.
+const REFUSED_MS: f64 = 400.0;
 /// The longest time that is reported as the wait for credit.
 const WAIT_MS_MAX: f64 = 10_000.0;
 
@@ -209,9 +211,11 @@
         // Tokens are never negative, so that the conversion only cuts the fraction off.
         let count = (bucket.tokens as u32).min(wanted);
         bucket.tokens -= f64::from(count);
-        let missing = (1.0 - bucket.tokens).max(0.0);
-        let wait_ms = (missing / bucket.per_ms(&self.shares, now_ms).max(1e-9)).min(WAIT_MS_MAX);
-        (count, wait_ms.ceil() as u32)
+        let per_ms = bucket.per_ms(&self.shares, now_ms).max(1e-9);
+        // The callers that were refused a short time ago come back first.
+        let refused_per_ms = (bucket.demand.per_ms(now_ms) - per_ms).max(0.0);
+        let missing = (1.0 - bucket.tokens).max(0.0) + refused_per_ms * REFUSED_MS;
+        (count, (missing / per_ms).min(WAIT_MS_MAX).ceil() as u32)
     }
 
     /// Takes credit back that was granted at `granted_ms` and not used. Later than
--- a/crates/core/src/mesh/topology.rs
+++ b/crates/core/src/mesh/topology.rs
@@ -5,6 +5,9 @@
 //! for loss and overload. They are chosen by a hash of both daemons' names (rendezvous hashing), so
 //! that links are spread evenly over the targets and the loss of a peer moves only its links.
 //!
+//! Where accounts have quotas, all daemons of a zone also link to its first ones by name, since the
+//! first of them keeps the quotas of the zone; see [`crate::mesh::quota`].
+//!
 //! The first daemons of each zone, by name, also link to each other. New configuration versions
 //! cross zones and regions on these links only; see [`crate::mesh::dissemination`].
 
@@ -60,6 +63,7 @@
 pub fn wanted_links<'a>(
     local: &DaemonRecord,
     peers: impl Iterator<Item = &'a Peer> + Clone,
+    has_quotas: bool,
     now_ms: u64,
 ) -> BTreeSet<Arc<str>> {
     let mut groups: BTreeMap<(Location, &str), Vec<&Peer>> = BTreeMap::new();
@@ -74,6 +78,12 @@
             may_be_usable(peer, now_ms)
         });
     }
+    if has_quotas {
+        let in_zone = by_zone(peers.clone().filter(|peer| peer.record.zone == local.zone));
+        for group in in_zone.into_values() {
+            add_usable(&mut wanted, &group, ZONE_GATEWAYS, may_be_linked);
+        }
+    }
     if is_zone_gateway(local, peers.clone()) {
         for group in by_zone(peers.filter(|peer| peer.record.zone != local.zone)).into_values() {
             add_usable(&mut wanted, &group, ZONE_GATEWAYS, may_be_linked);
--- a/crates/core/tests/quota_fleet/mod.rs
+++ b/crates/core/tests/quota_fleet/mod.rs
@@ -287,8 +287,7 @@
                 Some((other, _)) if self.daemons[other].name < name => first,
                 _ => None,
             };
-            let keeper =
-                keeper.map(|(other, start)| (self.daemons[other].name.clone(), start));
+            let keeper = keeper.map(|(other, start)| (self.daemons[other].name.clone(), start));
             if let Some(node) = &mut self.daemons[index].node {
                 node.set_keeper(keeper.as_ref().map(|(name, start_id)| (name, *start_id)));
             }
--- a/crates/core/tests/quota_schedules.rs
+++ b/crates/core/tests/quota_schedules.rs
@@ -26,16 +26,31 @@
 /// One step of a schedule.
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    Kill { daemon: usize },
-    Start { daemon: usize },
-    RestartZone { zone: usize },
-    CutZone { zone: usize },
-    CutDaemon { daemon: usize },
+    Kill {
+        daemon: usize,
+    },
+    Start {
+        daemon: usize,
+    },
+    RestartZone {
+        zone: usize,
+    },
+    CutZone {
+        zone: usize,
+    },
+    CutDaemon {
+        daemon: usize,
+    },
     Heal,
-    Pause { daemon: usize, ms: u64 },
+    Pause {
+        daemon: usize,
+        ms: u64,
+    },
     LowerLimits,
     /// All demand moves to one zone.
-    Shift { zone: usize },
+    Shift {
+        zone: usize,
+    },
     /// Daemons have each the same demand.
     Spread,
     Idle,
--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -1,9 +1,10 @@
 //! The configuration in force, and how it is updated from the store or from a peer.
 
-use super::{Mesh, report};
+use super::{Mesh, quota, report};
 use crate::logging::log_event;
 use bytes::Bytes;
 use event_listener::Event as Notify;
+use pomeloreach_core::account::QuotaLimit;
 use pomeloreach_core::event::Event;
 use pomeloreach_core::matching::RouteTable;
 use pomeloreach_core::mesh::delta::Delta;
@@ -18,8 +19,10 @@
 use pomeloreach_wire::clock::sleep_ms;
 use pomeloreach_wire::compress;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// How long the store holds a watch open, in milliseconds. Each response confirms the version, so
 /// this bounds the age of the last confirmation.
@@ -104,6 +107,13 @@
         in_force.as_ref().map(|in_force| in_force.published.limits).unwrap_or_default()
     }
 
+    /// The limits of the accounts that have a quota.
+    pub fn quota_limits(&self) -> BTreeMap<Arc<str>, QuotaLimit> {
+        let in_force = self.in_force.borrow();
+        let accounts = in_force.iter().flat_map(|in_force| &in_force.published.accounts);
+        accounts.filter_map(|(name, account)| Some((name.clone(), account.quota?))).collect()
+    }
+
     pub fn version(&self) -> u64 {
         self.in_force.borrow().as_ref().map_or(0, |in_force| in_force.published.version)
     }
@@ -207,6 +217,7 @@
     let cached_delta = RefCell::default();
     *in_force = Some(ConfigInForce { published, routes: Rc::new(routes), digest, cached_delta });
     drop(in_force);
+    quota::apply_limits(mesh);
     // A confirmation of the previous version does not apply to this one.
     config.confirmed_ms.set(None);
     config.confirmed_revision.set(None);
--- a/crates/daemon/src/mesh/incoming_links.rs
+++ b/crates/daemon/src/mesh/incoming_links.rs
@@ -5,7 +5,7 @@
     FrameSender, IncomingLink, LinkError, LinkReader, OPEN_TIMEOUT_MS, daemon_count, encode,
     write_frames,
 };
-use super::{Mesh, bodies, listener};
+use super::{Mesh, bodies, listener, quota};
 use crate::logging::log_event;
 use async_channel::Sender;
 use async_net::{TcpListener, TcpStream};
@@ -14,6 +14,7 @@
 use pomeloreach_core::event::Event;
 use pomeloreach_core::mesh::dissemination::Distance;
 use pomeloreach_core::mesh::message::{CallResult, InboundRequest, InboundResponse, LinkMessage};
+use pomeloreach_core::mesh::quota::LoanMessage;
 use pomeloreach_core::mesh::transit::TransitClock;
 use pomeloreach_wire::clock::boot_ms;
 use std::cell::{Cell, RefCell};
@@ -76,7 +77,7 @@
     mesh.links.last_incoming_id.set(id);
     let link = IncomingLink {
         frames: frames.clone(),
-        peer: name,
+        peer: name.clone(),
         region,
         zone,
         distance,
@@ -124,6 +125,14 @@
                         frames.send(encode(&LinkMessage::ConfigDelta { delta }));
                     }
                 }
+                LinkMessage::CreditRequest(request) => {
+                    frames.send(quota::serve_credit_request(mesh, &name, &request));
+                }
+                LinkMessage::Loan(LoanMessage::Request(request)) => {
+                    if let Some(grant) = quota::serve_loan_request(mesh, &name, &request) {
+                        frames.send(grant);
+                    }
+                }
                 _ => return Err(LinkError::UnexpectedMessage),
             }
         }
--- a/crates/daemon/src/mesh/metrics.rs
+++ b/crates/daemon/src/mesh/metrics.rs
@@ -31,6 +31,12 @@
     distance: &'static str,
 }
 
+/// The label of the counters of accounts with a quota, whose number the configuration bounds.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AccountLabels {
+    account: String,
+}
+
 /// The metrics of one daemon.
 pub struct Metrics {
     registry: Registry,
@@ -50,6 +56,8 @@
     store_failures: Counter,
     link_messages: Family<LinkLabels, Counter>,
     link_bytes: Family<LinkLabels, Counter>,
+    quota_used: Family<AccountLabels, Counter>,
+    quota_refused: Family<AccountLabels, Counter>,
 }
 
 /// The values of the gauges, which are read when the metrics are fetched.
@@ -83,6 +91,8 @@
             store_failures: Counter::default(),
             link_messages: Family::default(),
             link_bytes: Family::default(),
+            quota_used: Family::default(),
+            quota_refused: Family::default(),
         };
         registry.register("requests", "Requests of callers, by result", metrics.requests.clone());
         registry.register("attempts", "Attempts at targets", metrics.attempts.clone());
@@ -139,6 +149,16 @@
             "Bytes of messages received on links, by kind and by the distance of the sender",
             metrics.link_bytes.clone(),
         );
+        registry.register(
+            "quota_used",
+            "Requests of accounts with a quota that reached a target",
+            metrics.quota_used.clone(),
+        );
+        registry.register(
+            "quota_refused",
+            "Requests over the quota of their account",
+            metrics.quota_refused.clone(),
+        );
         Self { registry, ..metrics }
     }
 }
@@ -176,6 +196,16 @@
         self.store_failures.inc();
     }
 
+    /// Counts a request of an account with a quota that reached a target.
+    pub fn quota_used(&self, account: &str) {
+        self.quota_used.get_or_create(&account_labels(account)).inc();
+    }
+
+    /// Counts a request over the quota of its account.
+    pub fn quota_refused(&self, account: &str) {
+        self.quota_refused.get_or_create(&account_labels(account)).inc();
+    }
+
     /// Counts a message that was received on a link.
     pub fn link_message_received(&self, kind: &'static str, distance: Distance, bytes: u64) {
         let labels = LinkLabels { kind, distance: distance.into() };
@@ -200,6 +230,10 @@
     ResultLabels { code: code.to_string() }
 }
 
+fn account_labels(account: &str) -> AccountLabels {
+    AccountLabels { account: account.to_string() }
+}
+
 fn seconds(ms: u64) -> f64 {
     ms as f64 / 1_000.0
 }
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -20,6 +20,7 @@
 mod outbound_bodies;
 mod outgoing_links;
 mod peer_calls;
+mod quota;
 mod report;
 mod request;
 mod response;
@@ -90,6 +91,7 @@
     pub outbound_bodies: outbound_bodies::OutboundBodies,
     pub metrics: metrics::Metrics,
     pub config: config::LocalConfig,
+    pub quotas: quota::Quotas,
     /// Whether this daemon has listed the other daemons in the store since it started.
     pub has_listed_daemons: Cell<bool>,
     /// Distributes the requests of each route over its pools.
@@ -244,6 +246,7 @@
         outbound_bodies: outbound_bodies::OutboundBodies::new(mesh_settings.link_mbps),
         metrics: metrics::Metrics::default(),
         config: config::LocalConfig::default(),
+        quotas: quota::Quotas::new(mesh_settings.quota_terms()),
         has_listed_daemons: Cell::new(false),
         round_robin: RefCell::new(WeightedRoundRobin::with_seed(local.start_id)),
         retry_budgets: RefCell::new(BTreeMap::new()),
@@ -266,6 +269,7 @@
     mesh.spawn(discovery::run(mesh.clone()));
     mesh.spawn(config::watch_store(mesh.clone()));
     mesh.spawn(inbound::monitor(mesh.clone()));
+    mesh.spawn(quota::run(mesh.clone()));
     mesh.spawn(bodies::request_parts(mesh.clone()));
     mesh.spawn(outbound_bodies::send_parts(mesh.clone()));
     mesh.spawn(callers::serve_http(
@@ -319,6 +323,7 @@
     if changed != **mesh.mesh_settings.borrow() {
         log_event(Event::SettingsChanged, &format!("{changed:?}"));
         *mesh.mesh_settings.borrow_mut() = Rc::new(changed);
+        quota::apply_limits(mesh);
     }
 }
 
--- a/crates/daemon/src/mesh/outgoing_links.rs
+++ b/crates/daemon/src/mesh/outgoing_links.rs
@@ -7,7 +7,7 @@
 };
 use super::outbound_bodies::RequestedPart;
 use super::peer_calls::{self, PendingCalls};
-use super::{Mesh, discovery, report};
+use super::{Mesh, discovery, quota, report};
 use crate::logging::log_event;
 use async_net::TcpStream;
 use futures_lite::future::or;
@@ -15,6 +15,7 @@
 use pomeloreach_core::mesh::dissemination::Distance;
 use pomeloreach_core::mesh::heartbeat::TargetStart;
 use pomeloreach_core::mesh::message::LinkMessage;
+use pomeloreach_core::mesh::quota::LoanMessage;
 use pomeloreach_core::mesh::state::{ConfigState, DaemonRecord};
 use pomeloreach_wire::clock::{boot_ms, sleep_ms, within_ms};
 use std::cell::RefCell;
@@ -199,6 +200,10 @@
             }
         }
         LinkMessage::KnownDaemons(records) => add_known_daemons(mesh, records),
+        LinkMessage::CreditGrant(grant) => quota::handle_credit_grant(mesh, name, &grant),
+        LinkMessage::Loan(LoanMessage::Grant(grant)) => {
+            quota::handle_loan_grant(mesh, name, &grant);
+        }
         _ => return Err(LinkError::UnexpectedMessage),
     }
     Ok(())
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -3,6 +3,7 @@
 use super::Mesh;
 use super::attempt;
 use super::forward::end_to_end_headers;
+use super::quota::{self, QuotaPermit};
 use super::response::{TargetResponse, refusal_response, target_response};
 use crate::logging::log_with;
 use async_channel::Sender;
@@ -51,6 +52,8 @@
     retry_after_ms: u64,
     /// The target of the last attempt.
     last_target: Option<ChosenTarget>,
+    /// The credit of the request; absent if it belongs to no account.
+    permit: Option<QuotaPermit>,
 }
 
 /// A chosen target, with the load that the choice was based on.
@@ -85,10 +88,25 @@
         let code = missing_route_code(mesh.config.version(), mesh.newest_known_version());
         return refuse(mesh, &caller.request_id, code);
     };
-    let weighted = mesh.round_robin.borrow_mut().next(route).clone();
     let route_timeout_ms = u64::from(route.route.deadline_ms);
     let deadline_ms =
         arrived_ms + caller.timeout_ms.unwrap_or(route_timeout_ms).min(route_timeout_ms);
+    let account: Option<Arc<str>> = None;
+    let permit = match &account {
+        None => None,
+        Some(account) => {
+            let left_ms = deadline_ms.saturating_sub(mesh.now_ms());
+            match quota::acquire(mesh, account, left_ms).await {
+                Ok(permit) => Some(permit),
+                Err(refusal) => {
+                    let now_ms = mesh.now_ms();
+                    let times = (now_ms - arrived_ms, deadline_ms.saturating_sub(now_ms));
+                    return quota::refuse(mesh, &caller.request_id, &route.name, &refusal, times);
+                }
+            }
+        }
+    };
+    let weighted = mesh.round_robin.borrow_mut().next(route).clone();
     let goal_left_ms = route.route.target_latency_ms.map_or(route_timeout_ms, u64::from);
     let attempts_max = route.route.attempts_max.unwrap_or(weighted.pool.attempts_max).into();
     let is_idempotent = route.route.idempotent;
@@ -105,6 +123,7 @@
         held_response: None,
         retry_after_ms: 0,
         last_target: None,
+        permit,
     };
     mesh.deposit_retry(&active.service);
     let result = active.run().await;
@@ -216,8 +235,12 @@
             }
         };
         let rank = self.route.route.priority;
-        if self.attempts.is_retry() && !self.mesh.withdraw_retry(&self.service, rank) {
-            return Err(ResultCode::RetryBudgetSpent);
+        if self.attempts.is_retry() {
+            // Each arrival at a target counts against the quota.
+            let has_credit = self.permit.as_ref().is_none_or(|permit| permit.take_retry(self.mesh));
+            if !has_credit || !self.mesh.withdraw_retry(&self.service, rank) {
+                return Err(ResultCode::RetryBudgetSpent);
+            }
         }
         self.mesh.metrics.attempt_started(self.attempts.is_retry());
         let daemon = peer.clone().unwrap_or_else(|| self.mesh.local.name.clone());
@@ -356,6 +379,10 @@
         let took_ms = now_ms - self.arrived_ms;
         let code = result.as_ref().err().copied().unwrap_or(ResultCode::Answered);
         self.mesh.metrics.request_ended(code, took_ms);
+        if let Some(permit) = self.permit.take() {
+            let has_run = self.attempts.targets_reached() + self.attempts.in_flight() > 0;
+            permit.finish(self.mesh, has_run);
+        }
         let response = match result {
             Ok(response) => response,
             Err(code) => {
--- a/crates/daemon/src/mesh/response.rs
+++ b/crates/daemon/src/mesh/response.rs
@@ -43,7 +43,8 @@
     };
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     headers::set_request_id(response.headers_mut(), request_id);
-    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+    if matches!(response.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
+    {
         headers::set_retry_after(response.headers_mut(), retry_after_ms);
     }
     response
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::error::DaemonError;
 use pomeloreach_core::check::is_valid_name;
+use pomeloreach_core::mesh::quota::QuotaTerms;
 use serde::{Deserialize, Deserializer, de::Error};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -17,6 +18,10 @@
 /// The smallest and the largest value of `link_mbps`.
 const LINK_MBPS_MIN: f64 = 0.1;
 const LINK_MBPS_MAX: f64 = 400_000.0;
+/// The largest value of `quota_window_s`, in seconds, and of `quota_overshoot` and `quota_slack`.
+const QUOTA_WINDOW_S_MAX: f64 = 3_600.0;
+const QUOTA_OVERSHOOT_MAX: f64 = 10.0;
+const QUOTA_SLACK_MAX: f64 = 1_000_000.0;
 /// The largest value of a setting in seconds.
 const SECONDS_MAX: f64 = 86_400.0;
 /// The largest value of `drain_max_ms`, which limits how long a stopping daemon waits for requests.
@@ -121,6 +126,27 @@
     /// The rate of the VM's link, in megabits per second.
     #[serde(default = "default_link_mbps", deserialize_with = "link_mbps")]
     pub link_mbps: f64,
+    /// The window over which the requests of an account are limited, in seconds.
+    #[serde(default, deserialize_with = "quota_window_s")]
+    pub quota_window_s: Option<f64>,
+    /// How far an account may exceed its limit in a window, as a share of what the limit allows.
+    #[serde(default, deserialize_with = "quota_overshoot")]
+    pub quota_overshoot: Option<f64>,
+    /// How far an account may exceed its limit in a window, in requests.
+    #[serde(default, deserialize_with = "quota_slack")]
+    pub quota_slack: Option<f64>,
+}
+
+impl MeshSettings {
+    /// The terms of quotas, with defaults for those that are not set.
+    pub fn quota_terms(&self) -> QuotaTerms {
+        let default = QuotaTerms::default();
+        QuotaTerms {
+            window_ms: self.quota_window_s.map_or(default.window_ms, |s| (s * 1_000.0) as u64),
+            overshoot: self.quota_overshoot.unwrap_or(default.overshoot),
+            slack: self.quota_slack.unwrap_or(default.slack),
+        }
+    }
 }
 
 /// The files that a daemon authenticates itself and other daemons with.
@@ -220,6 +246,32 @@
     Err(D::Error::custom(format!("{mbps} is outside {LINK_MBPS_MIN} to {LINK_MBPS_MAX}")))
 }
 
+/// Deserializes a number from `min` to `max`; none if the field is empty.
+fn optional_in_range<'de, D>(deserializer: D, min: f64, max: f64) -> Result<Option<f64>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    let value = Option::<f64>::deserialize(deserializer)?;
+    match value {
+        Some(value) if !(min..=max).contains(&value) => {
+            Err(D::Error::custom(format!("{value} is outside {min} to {max}")))
+        }
+        value => Ok(value),
+    }
+}
+
+fn quota_window_s<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<f64>, D::Error> {
+    optional_in_range(deserializer, 1.0, QUOTA_WINDOW_S_MAX)
+}
+
+fn quota_overshoot<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<f64>, D::Error> {
+    optional_in_range(deserializer, 0.0, QUOTA_OVERSHOOT_MAX)
+}
+
+fn quota_slack<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<f64>, D::Error> {
+    optional_in_range(deserializer, 0.0, QUOTA_SLACK_MAX)
+}
+
 fn relays_per_zone<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u16, D::Error> {
     u16_up_to(deserializer, RELAYS_PER_ZONE_MAX)
 }
