--- a/crates/core/tests/quota_service.rs
+++ b/crates/core/tests/quota_service.rs
@@ -19,6 +19,9 @@
 const SHIFT_MS: u64 = 2_000;
 /// When the measurements begin: all daemons have started, and their buckets have filled.
 const STEADY_MS: u64 = 10_000;
+/// The messages that a daemon may send each second, at 33 requests a second: every message costs
+/// processor time. One request for credit and one grant for each request would be 60.
+const MESSAGES_MAX: f64 = 40.0;
 /// The measured periods are this long.
 const MEASURED_MS: u64 = 8_000;
 
@@ -106,7 +109,7 @@
     total.1 / total.0
 }
 
-/// Without loans between zones, or with credit that mostly lapses, accounts whose callers are in few
+/// Without loans between zones, or if credit mostly lapses, accounts whose callers are in few
 /// zones are refused within their limits.
 #[test]
 fn steady_state() {
@@ -115,6 +118,7 @@
     fleet.run_until(STEADY_MS + MEASURED_MS);
     let per_daemon = (fleet.messages - messages) as f64 / MEASURED_MS as f64 * 1_000.0 / 60.0;
     println!("{per_daemon:.1} messages a second and daemon");
+    assert!(per_daemon <= MESSAGES_MAX, "{per_daemon} messages a second and daemon");
     let share = served_share(&fleet, STEADY_MS, STEADY_MS + MEASURED_MS);
     assert!(share >= SERVED_SHARE_MIN, "served {share}");
 }
