--- a/crates/core/src/mesh/quota/mod.rs
+++ b/crates/core/src/mesh/quota/mod.rs
@@ -100,6 +100,10 @@
     /// Delegates the sender's share for [`DELEGATION_MS`] from this time of the keeper's clock, which
     /// the keeper sent in a grant. Absent if the sender does not delegate.
     pub delegated_ms: Option<u64>,
+    /// The number of daemons that the sender knows from the directory and the links. The receiver
+    /// divides limits by the largest number that it knows of, since a new daemon is known to the
+    /// daemons that it links to many seconds before the others poll the directory.
+    pub daemons: u32,
     pub wanted: Vec<WantedCredit>,
     pub returned: Vec<ReturnedCredit>,
 }
@@ -129,6 +133,8 @@
     pub request_sent_ms: u64,
     /// The time by the clock of the keeper.
     pub keeper_ms: u64,
+    /// As in [`CreditRequest::daemons`].
+    pub daemons: u32,
     pub granted: Vec<GrantedCredit>,
 }
 
@@ -152,6 +158,8 @@
 pub struct LoanRequest {
     /// When the request was sent, by the clock of the borrower.
     pub sent_ms: u64,
+    /// As in [`CreditRequest::daemons`].
+    pub daemons: u32,
     pub rates: Vec<AccountRate>,
 }
 
@@ -160,6 +168,8 @@
 pub struct LoanGrant {
     /// The loans end [`LOAN_MS`] after this time of the borrower's clock.
     pub request_sent_ms: u64,
+    /// As in [`CreditRequest::daemons`].
+    pub daemons: u32,
     pub rates: Vec<AccountRate>,
 }
 
--- a/crates/core/src/mesh/quota/node.rs
+++ b/crates/core/src/mesh/quota/node.rs
@@ -50,6 +50,8 @@
     drawer: Drawer,
     keeper: Option<Keeper>,
     loans_requested_ms: u64,
+    /// The number of daemons that this daemon knows.
+    daemons: u32,
 }
 
 impl QuotaNode {
@@ -61,6 +63,7 @@
             drawer: Drawer::default(),
             keeper: None,
             loans_requested_ms: 0,
+            daemons: 1,
         }
     }
 
@@ -91,8 +94,9 @@
         self.drawer.keep_only(|account| self.limits.contains_key(account));
     }
 
-    /// Sets the number of daemons in the directory.
-    pub fn set_daemons(&mut self, daemons: usize, now_ms: u64) {
+    /// Sets the number of daemons that this daemon knows, reachable or not.
+    pub fn set_daemons(&mut self, daemons: u32, now_ms: u64) {
+        self.daemons = daemons;
         self.pool.set_daemons(daemons, now_ms);
     }
 
@@ -201,7 +205,13 @@
         });
         let wanted = self.drawer.take_wanted(now_ms);
         let returned = self.drawer.take_returned();
-        let request = CreditRequest { sent_ms: now_ms, delegated_ms, wanted, returned };
+        let request = CreditRequest {
+            sent_ms: now_ms,
+            delegated_ms,
+            daemons: self.daemons,
+            wanted,
+            returned,
+        };
         Some((keeper.name.clone(), request))
     }
 
@@ -212,6 +222,7 @@
         request: &CreditRequest,
         now_ms: u64,
     ) -> CreditGrant {
+        self.pool.set_daemons(request.daemons, now_ms);
         if let Some(delegated_ms) = request.delegated_ms.filter(|ms| *ms <= now_ms) {
             self.pool.add_delegation(sender, delegated_ms + DELEGATION_MS, now_ms);
         }
@@ -227,11 +238,17 @@
                 granted.push(GrantedCredit { account: wanted.account.clone(), count, wait_ms });
             }
         }
-        CreditGrant { request_sent_ms: request.sent_ms, keeper_ms: now_ms, granted }
+        CreditGrant {
+            request_sent_ms: request.sent_ms,
+            keeper_ms: now_ms,
+            daemons: self.daemons,
+            granted,
+        }
     }
 
     /// Uses the credit that a keeper granted.
     pub fn handle_credit_grant(&mut self, sender: &str, grant: &CreditGrant, now_ms: u64) {
+        self.pool.set_daemons(grant.daemons, now_ms);
         let keeper = self.keeper.as_mut().filter(|keeper| &*keeper.name == sender);
         let Some(keeper) = keeper else { return };
         let last_ms = keeper.last_heard.map(|(keeper_ms, _)| keeper_ms);
@@ -258,9 +275,10 @@
         }
         self.loans_requested_ms = now_ms;
         let wanted = self.pool.wanted_loans(lenders, now_ms);
+        let daemons = self.daemons;
         let request = |(lender, rates): (Arc<str>, Vec<(Arc<str>, f64)>)| {
             let rates = rates.into_iter().map(|(account, per_ms)| account_rate(account, per_ms));
-            (lender, LoanRequest { sent_ms: now_ms, rates: rates.collect() })
+            (lender, LoanRequest { sent_ms: now_ms, daemons, rates: rates.collect() })
         };
         wanted.into_iter().map(request).collect()
     }
@@ -272,6 +290,7 @@
         request: &LoanRequest,
         now_ms: u64,
     ) -> LoanGrant {
+        self.pool.set_daemons(request.daemons, now_ms);
         let mut rates = Vec::new();
         for wanted in &request.rates {
             let wanted_per_ms = wanted.milli_per_s as f64 / MILLI_PER_S_IN_PER_MS;
@@ -280,11 +299,12 @@
                 rates.push(account_rate(wanted.account.clone(), per_ms));
             }
         }
-        LoanGrant { request_sent_ms: request.sent_ms, rates }
+        LoanGrant { request_sent_ms: request.sent_ms, daemons: self.daemons, rates }
     }
 
     /// Uses the loans of another keeper.
     pub fn handle_loan_grant(&mut self, lender: &Arc<str>, grant: &LoanGrant, now_ms: u64) {
+        self.pool.set_daemons(grant.daemons, now_ms);
         for rate in &grant.rates {
             let per_ms = rate.milli_per_s as f64 / MILLI_PER_S_IN_PER_MS;
             self.pool.borrow(lender, &rate.account, per_ms, grant.request_sent_ms, now_ms);
--- a/crates/core/src/mesh/quota/pool.rs
+++ b/crates/core/src/mesh/quota/pool.rs
@@ -31,9 +31,9 @@
 #[derive(Clone, Debug, Default)]
 struct Shares {
     /// The number of daemons among which each limit is divided.
-    daemons: usize,
+    daemons: u32,
     /// A lower number of daemons, and since when it is the number.
-    fewer: Option<(usize, u64)>,
+    fewer: Option<(u32, u64)>,
     /// The time from which this daemon uses its own share.
     own_from_ms: u64,
     /// The daemons that delegate their shares, and until when.
@@ -75,7 +75,7 @@
     /// Adds the refill since the last update, and cuts the bucket to its capacity.
     fn update(&mut self, shares: &Shares, now_ms: u64) {
         let (from_ms, now_ms) = (self.updated_ms, now_ms.max(self.updated_ms));
-        let per_share = self.limit.rate_per_ms / shares.daemons.max(1) as f64;
+        let per_share = self.limit.rate_per_ms / f64::from(shares.daemons.max(1));
         let own = per_share * shares.share_ms(from_ms, now_ms);
         let kept = (own - self.loans.lent_amount(from_ms, now_ms)).max(0.0);
         let refill = kept + self.loans.borrowed_amount(from_ms, now_ms);
@@ -85,18 +85,18 @@
     }
 
     fn capacity(&self, shares: &Shares, now_ms: u64) -> f64 {
-        self.limit.capacity * shares.count(now_ms) / shares.daemons.max(1) as f64
+        self.limit.capacity * shares.count(now_ms) / f64::from(shares.daemons.max(1))
     }
 
     /// The refill at present.
     fn per_ms(&self, shares: &Shares, now_ms: u64) -> f64 {
-        let own = self.limit.rate_per_ms * shares.count(now_ms) / shares.daemons.max(1) as f64;
+        let own = self.limit.rate_per_ms * shares.count(now_ms) / f64::from(shares.daemons.max(1));
         (own - self.loans.lent_per_ms()).max(0.0) + self.loans.borrowed_per_ms(now_ms)
     }
 
     /// The refill that is wanted from other keepers, in total.
     fn wanted_per_ms(&self, shares: &Shares, now_ms: u64) -> f64 {
-        let own = self.limit.rate_per_ms * shares.count(now_ms) / shares.daemons.max(1) as f64;
+        let own = self.limit.rate_per_ms * shares.count(now_ms) / f64::from(shares.daemons.max(1));
         let kept = (own - self.loans.lent_per_ms()).max(0.0);
         // A bucket that is half full covers random fluctuation.
         let is_low = self.tokens < (self.capacity(shares, now_ms) / 2.0).max(LOW_TOKENS);
@@ -142,8 +142,9 @@
         }
     }
 
-    /// Divides the limits by the number of known daemons. A lower number is used once it has lasted.
-    pub fn set_daemons(&mut self, daemons: usize, now_ms: u64) {
+    /// Divides the limits by a number of daemons that this daemon or another one knows. A lower number
+    /// is used once no higher one was known for [`FEWER_DAEMONS_MS`].
+    pub fn set_daemons(&mut self, daemons: u32, now_ms: u64) {
         let shares = &mut self.shares;
         if daemons >= shares.daemons {
             shares.fewer = None;
@@ -274,7 +275,7 @@
     ) -> f64 {
         let Some(bucket) = self.buckets.get_mut(account) else { return 0.0 };
         bucket.update(&self.shares, now_ms);
-        let lasting = self.shares.lasting_count(now_ms) / self.shares.daemons.max(1) as f64;
+        let lasting = self.shares.lasting_count(now_ms) / f64::from(self.shares.daemons.max(1));
         let spare = bucket.limit.rate_per_ms * lasting
             - bucket.loans.lent_to_others_per_ms(borrower)
             - bucket.demand.per_ms(now_ms) * DEMAND_MARGIN;
--- a/crates/core/tests/mesh_topology.rs
+++ b/crates/core/tests/mesh_topology.rs
@@ -88,6 +88,24 @@
     assert!(links_to.len() == daemons, "a target has no link of any other daemon");
 }
 
+/// In a zone with more daemons than each links to, some have no link to the daemon that keeps the
+/// zone's quotas, and could draw no credit.
+#[test]
+fn every_daemon_links_to_the_quota_keeper() {
+    let daemons = 1_000;
+    let keeper = record(0);
+    let in_zone = |index: &usize| record(*index).zone == keeper.zone;
+    let mut linked_without_quotas = 0;
+    for local in (1..daemons).filter(in_zone) {
+        let mut peers = peers_of(local, daemons);
+        linked_without_quotas += usize::from(peers.wanted_links(0).contains(&keeper.name));
+        peers.set_has_quotas(true);
+        assert!(peers.wanted_links(0).contains(&keeper.name), "{local} has no link to the keeper");
+    }
+    // Without quotas the links would only cost.
+    assert!(linked_without_quotas < 60, "{linked_without_quotas} daemons link to the first one");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 24, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
--- a/crates/core/tests/quota_fleet/mod.rs
+++ b/crates/core/tests/quota_fleet/mod.rs
@@ -98,7 +98,7 @@
         let terms = QuotaTerms::default();
         let mut node = QuotaNode::new(terms, now_ms);
         node.set_limits(self.limits.clone(), terms, now_ms);
-        node.set_daemons(self.daemons.len(), now_ms);
+        node.set_daemons(self.daemons.len() as u32, now_ms);
         let daemon = &mut self.daemons[index];
         daemon.node = Some(node);
         daemon.start_id += 1;
@@ -130,12 +130,15 @@
     }
 
     /// Sets the number of daemons that all daemons know.
-    pub fn set_daemons(&mut self, count: usize) {
-        for index in 0..self.daemons.len() {
-            let now_ms = self.clock(index);
-            if let Some(node) = &mut self.daemons[index].node {
-                node.set_daemons(count, now_ms);
-            }
+    pub fn set_daemons(&mut self, count: u32) {
+        (0..self.daemons.len()).for_each(|index| self.set_daemons_of(index, count));
+    }
+
+    /// Sets the number of daemons that one daemon knows.
+    pub fn set_daemons_of(&mut self, index: usize, count: u32) {
+        let now_ms = self.clock(index);
+        if let Some(node) = &mut self.daemons[index].node {
+            node.set_daemons(count, now_ms);
         }
     }
 
--- a/crates/core/tests/quota_schedules.rs
+++ b/crates/core/tests/quota_schedules.rs
@@ -198,6 +198,24 @@
     assert!(last as f64 >= 4.0 * RATES[0] * 0.95, "{last} in four seconds");
 }
 
+/// New daemons are known to one daemon of the zone only, until the others poll the directory: if the
+/// keeper divided the limit by the number that it knows itself, it would use the shares of the new
+/// ones too.
+#[test]
+fn daemons_known_to_one_member_count() {
+    let limits = [limit(RATES[0], RATES[0])];
+    let mut fleet = Fleet::new(1, 10, &limits, 3);
+    fleet.set_rates(0, vec![RATES[0] * 4.0]);
+    for _ in 0..12 {
+        fleet.set_daemons(10);
+        fleet.set_daemons_of(9, 20);
+        let end_ms = fleet.now_ms + 1_000;
+        fleet.run_until(end_ms);
+    }
+    let most = most_in_window(&fleet.runs[0], WINDOW_MS) as f64;
+    assert!(most <= QuotaTerms::default().allowance(limits[0]) / 2.0 + 1.0, "{most} runs");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 96,
--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -4,7 +4,7 @@
 use crate::logging::log_event;
 use bytes::Bytes;
 use event_listener::Event as Notify;
-use pomeloreach_core::account::QuotaLimit;
+use pomeloreach_core::account::{KeyDigest, QuotaLimit};
 use pomeloreach_core::event::Event;
 use pomeloreach_core::matching::RouteTable;
 use pomeloreach_core::mesh::delta::Delta;
@@ -107,6 +107,13 @@
         in_force.as_ref().map(|in_force| in_force.published.limits).unwrap_or_default()
     }
 
+    /// The name of the account with a key.
+    pub fn account_with_key(&self, key: &KeyDigest) -> Option<Arc<str>> {
+        let in_force = self.in_force.borrow();
+        let mut accounts = in_force.iter().flat_map(|in_force| &in_force.published.accounts);
+        accounts.find(|(_, account)| account.keys.contains(key)).map(|(name, _)| name.clone())
+    }
+
     /// The limits of the accounts that have a quota.
     pub fn quota_limits(&self) -> BTreeMap<Arc<str>, QuotaLimit> {
         let in_force = self.in_force.borrow();
--- a/crates/daemon/src/mesh/quota.rs
+++ b/crates/daemon/src/mesh/quota.rs
@@ -241,7 +241,7 @@
     } else if !mesh.quotas.knows_daemons.get() {
         node.postpone_own_share(now_ms);
     }
-    node.set_daemons(peers.daemon_count(), now_ms);
+    node.set_daemons(u32::try_from(peers.daemon_count()).unwrap_or(u32::MAX), now_ms);
     let previous = node.keeper().cloned();
     let keeper = peers.zone_keeper();
     node.set_keeper(keeper.map(|record| (&record.name, record.start_id)));
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -12,6 +12,7 @@
 use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderMap, Response};
+use pomeloreach_core::account::KeyDigest;
 use pomeloreach_core::call::CallRequest;
 use pomeloreach_core::code::ResultCode;
 use pomeloreach_core::event::Event;
@@ -91,7 +92,7 @@
     let route_timeout_ms = u64::from(route.route.deadline_ms);
     let deadline_ms =
         arrived_ms + caller.timeout_ms.unwrap_or(route_timeout_ms).min(route_timeout_ms);
-    let account: Option<Arc<str>> = None;
+    let account = account_name(mesh, &head.headers);
     let permit = match &account {
         None => None,
         Some(account) => {
@@ -159,6 +160,12 @@
     refusal_response(request_id, code, NO_TARGET_RETRY_AFTER_MS)
 }
 
+/// The account whose key a request carries.
+fn account_name(mesh: &Mesh, headers: &HeaderMap) -> Option<Arc<str>> {
+    let value = headers.get(http::header::AUTHORIZATION)?.to_str().ok()?;
+    mesh.config.account_with_key(&KeyDigest::of(value.strip_prefix("Token ")?))
+}
+
 /// The host that a request names, in lower case and without the port.
 fn host(head: &Parts) -> String {
     let header = head.headers.get(HOST).and_then(|value| value.to_str().ok());
