--- a/crates/daemon/src/mesh/metrics.rs
+++ b/crates/daemon/src/mesh/metrics.rs
@@ -77,6 +77,8 @@
     memory_used: Gauge,
     memory_budget: Gauge,
     caller_connections: Gauge,
+    quota_used: Family<AccountLabels, Counter>,
+    quota_refused: Family<AccountLabels, Counter>,
 }
 
 /// The values of the gauges, which are read when the metrics are fetched.
@@ -119,6 +121,8 @@
             memory_used: Gauge::default(),
             memory_budget: Gauge::default(),
             caller_connections: Gauge::default(),
+            quota_used: Family::default(),
+            quota_refused: Family::default(),
         };
         registry.register("requests", "Requests of callers, by result", metrics.requests.clone());
         registry.register(
@@ -207,6 +211,16 @@
             "Open connections of callers",
             metrics.caller_connections.clone(),
         );
+        registry.register(
+            "quota_used",
+            "Requests of accounts with a quota that reached a target",
+            metrics.quota_used.clone(),
+        );
+        registry.register(
+            "quota_refused",
+            "Requests over the quota of their account",
+            metrics.quota_refused.clone(),
+        );
         Self { registry, ..metrics }
     }
 }
@@ -227,7 +241,10 @@
     /// of counters stays bounded.
     pub fn remove_accounts<'a>(&self, accounts: impl Iterator<Item = &'a Arc<str>>) {
         for account in accounts {
-            self.account_requests.remove(&AccountLabels { account: account.clone() });
+            let labels = AccountLabels { account: account.clone() };
+            self.account_requests.remove(&labels);
+            self.quota_used.remove(&labels);
+            self.quota_refused.remove(&labels);
         }
     }
 
@@ -262,6 +279,16 @@
         self.store_failures.inc();
     }
 
+    /// Counts a request of an account with a quota that reached a target.
+    pub fn quota_used(&self, account: &Arc<str>) {
+        self.quota_used.get_or_create(&AccountLabels { account: account.clone() }).inc();
+    }
+
+    /// Counts a request over the quota of its account.
+    pub fn quota_refused(&self, account: &Arc<str>) {
+        self.quota_refused.get_or_create(&AccountLabels { account: account.clone() }).inc();
+    }
+
     /// Counts a message that was received on a link.
     pub fn link_message_received(&self, kind: &'static str, distance: Distance, bytes: u64) {
         let labels = LinkLabels { kind, distance: distance.into() };
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -22,6 +22,7 @@
 mod outbound_bodies;
 mod outgoing_links;
 mod peer_calls;
+mod quota;
 mod report;
 mod request;
 mod response;
@@ -94,6 +95,7 @@
     pub outbound_bodies: outbound_bodies::OutboundBodies,
     pub metrics: metrics::Metrics,
     pub config: config::LocalConfig,
+    pub quotas: quota::Quotas,
     /// Whether this daemon has listed the other daemons in the store since it started.
     pub has_listed_daemons: Cell<bool>,
     /// Distributes the requests of each route over its pools.
@@ -249,6 +251,7 @@
         outbound_bodies: outbound_bodies::OutboundBodies::new(mesh_settings.link_mbps),
         metrics: metrics::Metrics::default(),
         config: config::LocalConfig::default(),
+        quotas: quota::Quotas::new(mesh_settings.quota_terms()),
         has_listed_daemons: Cell::new(false),
         round_robin: RefCell::new(WeightedRoundRobin::with_seed(local.start_id)),
         retry_budgets: RefCell::new(BTreeMap::new()),
@@ -272,6 +275,7 @@
     mesh.spawn(discovery::run(mesh.clone()));
     mesh.spawn(config::watch_store(mesh.clone()));
     mesh.spawn(inbound::monitor(mesh.clone()));
+    mesh.spawn(quota::run(mesh.clone()));
     mesh.spawn(bodies::request_parts(mesh.clone()));
     mesh.spawn(outbound_bodies::send_parts(mesh.clone()));
     mesh.spawn(callers::serve_http(
@@ -325,6 +329,7 @@
     if changed != **mesh.mesh_settings.borrow() {
         log_event(Event::SettingsChanged, &format!("{changed:?}"));
         *mesh.mesh_settings.borrow_mut() = Rc::new(changed);
+        quota::apply_limits(mesh);
     }
 }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::error::DaemonError;
 use pomeloreach_core::check::is_valid_name;
+use pomeloreach_core::mesh::quota::QuotaTerms;
 use serde::{Deserialize, Deserializer, de::Error};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -23,6 +24,10 @@
 /// The smallest and the largest value of `descriptors_max`.
 const DESCRIPTORS_MIN: u64 = 128;
 const DESCRIPTORS_LIMIT: u64 = 1_048_576;
+/// The largest value of `quota_window_s`, in seconds, and of `quota_overshoot` and `quota_slack`.
+const QUOTA_WINDOW_S_MAX: f64 = 3_600.0;
+const QUOTA_OVERSHOOT_MAX: f64 = 10.0;
+const QUOTA_SLACK_MAX: f64 = 1_000_000.0;
 /// The largest value of a setting in seconds.
 const SECONDS_MAX: f64 = 86_400.0;
 /// The largest value of `drain_max_ms`, which limits how long a stopping daemon waits for requests.
@@ -133,6 +138,27 @@
     /// The descriptors that this daemon may have open. Used when the daemon starts.
     #[serde(default = "default_descriptors_max", deserialize_with = "descriptors_max")]
     pub descriptors_max: u64,
+    /// The window over which the requests of an account are limited, in seconds.
+    #[serde(default, deserialize_with = "quota_window_s")]
+    pub quota_window_s: Option<f64>,
+    /// How far an account may exceed its limit in a window, as a share of what the limit allows.
+    #[serde(default, deserialize_with = "quota_overshoot")]
+    pub quota_overshoot: Option<f64>,
+    /// How far an account may exceed its limit in a window, in requests.
+    #[serde(default, deserialize_with = "quota_slack")]
+    pub quota_slack: Option<f64>,
+}
+
+impl MeshSettings {
+    /// The terms of quotas, with defaults for those that are not set.
+    pub fn quota_terms(&self) -> QuotaTerms {
+        let default = QuotaTerms::default();
+        QuotaTerms {
+            window_ms: self.quota_window_s.map_or(default.window_ms, |s| (s * 1_000.0) as u64),
+            overshoot: self.quota_overshoot.unwrap_or(default.overshoot),
+            slack: self.quota_slack.unwrap_or(default.slack),
+        }
+    }
 }
 
 /// The files that a daemon authenticates itself and other daemons with.
@@ -250,6 +276,32 @@
     integer_in_range(deserializer, DESCRIPTORS_MIN, DESCRIPTORS_LIMIT)
 }
 
+/// Deserializes a number from `min` to `max`; none if the field is empty.
+fn optional_in_range<'de, D>(deserializer: D, min: f64, max: f64) -> Result<Option<f64>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    let value = Option::<f64>::deserialize(deserializer)?;
+    match value {
+        Some(value) if !(min..=max).contains(&value) => {
+            Err(D::Error::custom(format!("{value} is outside {min} to {max}")))
+        }
+        value => Ok(value),
+    }
+}
+
+fn quota_window_s<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<f64>, D::Error> {
+    optional_in_range(deserializer, 1.0, QUOTA_WINDOW_S_MAX)
+}
+
+fn quota_overshoot<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<f64>, D::Error> {
+    optional_in_range(deserializer, 0.0, QUOTA_OVERSHOOT_MAX)
+}
+
+fn quota_slack<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<f64>, D::Error> {
+    optional_in_range(deserializer, 0.0, QUOTA_SLACK_MAX)
+}
+
 fn relays_per_zone<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u16, D::Error> {
     u16_up_to(deserializer, RELAYS_PER_ZONE_MAX)
 }
