--- a/crates/core/tests/fair_queue.rs
+++ b/crates/core/tests/fair_queue.rs
@@ -238,6 +238,8 @@
     assert_eq!(load.ahead_of(combined_rank(9, 0)), 5);
     let compact = TargetLoad { ahead_by_account: None, waiting: 7, ..load };
     assert_eq!(compact.ahead_of(combined_rank(1, 0)), 7, "all are of account priority 0");
+    let size = |load: TargetLoad| postcard::to_stdvec(&load).unwrap().len();
+    assert_eq!((size(compact), size(load)), (15, 27), "bytes of the report without its frame");
 }
 
 /// Guards against a virtual time that is reset between the arrival of a request and its place in the
