Mesh: a version's confirmation is kept if it arrives before the version's rows

A reader reports a new version and, at once, its confirmation. A peer that still waits for the rows noted the confirmation in its table of peers only. When it applied the version, its own confirmation was empty, and it passed none on to its zone. Until the next confirmation, up to 800 ms later, the daemons behind it knew neither an age, so that they read the store, nor a revision to watch from, so that they read the whole configuration. Only if the two readers were a few milliseconds apart did the second one's report come after the rows.

A daemon that applies a version now adopts the newest confirmation of it that linked peers have reported, before it reports the version itself. The next daemon so receives version and confirmation in one message.

--- a/crates/core/src/mesh/readers.rs
+++ b/crates/core/src/mesh/readers.rs
@@ -72,6 +72,28 @@
         .max()
 }
 
+/// A confirmation that the store held no newer version than the one in force here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Confirmation {
+    /// By the clock of this daemon. Negative if that was before the daemon started.
+    pub confirmed_ms: i64,
+    /// The revision of the store at that time, in the era that this daemon knows; absent if unknown.
+    pub revision: Option<u64>,
+}
+
+/// The newest confirmation of the version in force here that linked peers have reported, also before
+/// this daemon had that version.
+pub fn reported_confirmation(
+    peers: &Peers,
+    local: ConfigState,
+    now_ms: u64,
+) -> Option<Confirmation> {
+    let same_version = peers.linked().filter(|peer| peer.version() == local.version);
+    let ages_ms = same_version.filter_map(|peer| peer.confirmed_age_ms(now_ms));
+    let confirmed_ms = now_ms.cast_signed() - ages_ms.min()?.cast_signed();
+    Some(Confirmation { confirmed_ms, revision: confirmed_revision(peers, local) })
+}
+
 /// The position of this daemon in the order in which daemons become readers, from 0. Linked peers
 /// come earlier if they are not leaving and have a shorter round-trip time to the store, or
 /// an equal one and a lower name.
--- a/crates/core/tests/mesh_config.rs
+++ b/crates/core/tests/mesh_config.rs
@@ -5,7 +5,9 @@
 use pomeloreach_core::mesh::delta::Delta;
 use pomeloreach_core::mesh::peers::Peers;
 use pomeloreach_core::mesh::published::{PublishedConfig, missing_route_code};
-use pomeloreach_core::mesh::readers::{confirmed_revision, should_read};
+use pomeloreach_core::mesh::readers::{
+    Confirmation, confirmed_revision, reported_confirmation, should_read,
+};
 use pomeloreach_core::mesh::round_robin::WeightedRoundRobin;
 use pomeloreach_core::mesh::state::{
     ConfigState, DaemonRecord, DaemonState, TargetLoad, TargetSummary,
@@ -247,3 +249,23 @@
     assert_eq!(confirmed_revision(&peers, local), revision);
     assert_eq!(confirmed_revision(&peers, ConfigState::default()), None, "no version in force");
 }
+
+/// A daemon that received the rows of a version after peers had confirmed it did not know of that
+/// confirmation, and read the version from the store again.
+#[yare::parameterized(
+    newest_of_peers = { [None, Some(300), Some(200), None, None], 0, Some(-200) },
+    by_own_clock = { [None, Some(300), Some(200), None, None], 1_000, Some(-200) },
+    not_of_peers = { [Some(10), None, None, None, None], 0, None },
+)]
+fn confirmation_of_peers(ages_ms: [Option<u32>; 5], now_ms: u64, confirmed_ms: Option<i64>) {
+    let (peers, state) = fleet(0, ages_ms);
+    let local = ConfigState { confirmed_revision: None, ..state };
+    let revision = Some(4);
+    let expected = confirmed_ms.map(|confirmed_ms| Confirmation { confirmed_ms, revision });
+    assert_eq!(reported_confirmation(&peers, local, now_ms), expected);
+    let other_version = ConfigState { version: 6, ..local };
+    assert_eq!(reported_confirmation(&peers, other_version, now_ms), None);
+    let other_era = ConfigState { store_era: Some(2), ..local };
+    let without_revision = confirmed_ms.map(|ms| Confirmation { confirmed_ms: ms, revision: None });
+    assert_eq!(reported_confirmation(&peers, other_era, now_ms), without_revision);
+}
--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -10,7 +10,7 @@
 use pomeloreach_core::mesh::dissemination::{ConfigSource, Distance};
 use pomeloreach_core::mesh::history::RowHistory;
 use pomeloreach_core::mesh::published::{CallerLimits, PublishedConfig};
-use pomeloreach_core::mesh::readers;
+use pomeloreach_core::mesh::readers::{self, Confirmation};
 use pomeloreach_core::mesh::state::ConfigState;
 use pomeloreach_platform::store::{
     ConfigUpdate, StoreClient, StoreError, StorePosition, StoredConfig,
@@ -207,9 +207,16 @@
     let cached_delta = RefCell::default();
     *in_force = Some(ConfigInForce { published, routes: Rc::new(routes), digest, cached_delta });
     drop(in_force);
-    // A confirmation of the previous version does not apply to this one.
+    // A confirmation of the previous version does not apply to this one. Peers can have confirmed this
+    // one while its rows were on their way; they do not repeat that before the next confirmation.
     config.confirmed_ms.set(None);
     config.confirmed_revision.set(None);
+    let now_ms = mesh.now_ms();
+    let reported =
+        readers::reported_confirmation(&mesh.peers.borrow(), config.state(now_ms), now_ms);
+    if let Some(Confirmation { confirmed_ms, revision }) = reported {
+        config.record_confirmation(Some(confirmed_ms), revision);
+    }
     let detail = format!("version={version} held={version_in_force} source={source}");
     log_event(Event::VersionApplied, &detail);
     report::report_config(mesh, source);
