Daemon: signal handlers are installed before the settings are read

A SIGHUP in the first milliseconds after a daemon's start ended it, so that a daemon that was told to read its settings while it restarted was gone until the platform started it again. A SIGTERM killed it without an orderly end. A daemon without the section `mesh` was ended by a SIGHUP at any time.

The handlers were installed by the task that serves, after the settings were read and the executor and logging were set up; and SIGHUP had none without `mesh`.

`run` now installs them first. Signals wait until the daemon serves: a SIGHUP then has the settings read again, which covers a file that changed while the first settings were read; without `mesh` it is logged. A SIGTERM or SIGINT before the daemon serves ends the process with status 0 as soon as the settings are read, not after the time for which a ready daemon serves on.

Between exec and the handlers no process can handle a signal.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -17,6 +17,7 @@
 mod quic_connections;
 mod runtime;
 mod settings;
+mod signals;
 
 use std::process::ExitCode;
 
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -29,10 +29,9 @@
 use crate::logging::{self, log_event, log_with};
 use crate::runtime::{listen, random_seed};
 use crate::settings::{MeshSettings, Settings};
+use crate::signals::{DaemonSignals, SignalRequest};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
-use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
 use pomeloreach_core::endpoint::TargetState;
 use pomeloreach_core::event::Event;
 use pomeloreach_core::mesh::heartbeat::LocalTarget;
@@ -201,23 +200,31 @@
 }
 
 /// Runs a daemon until a signal stops it.
-pub fn run(path: PathBuf, settings: Settings, mesh: MeshSettings) -> Result<(), DaemonError> {
+pub fn run(
+    path: PathBuf,
+    settings: Settings,
+    mesh: MeshSettings,
+    signals: DaemonSignals,
+) -> Result<(), DaemonError> {
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(serve(path, settings, mesh, executor.clone())))
+    async_io::block_on(executor.run(serve(path, settings, mesh, signals, executor.clone())))
 }
 
 async fn serve(
     path: PathBuf,
     settings: Settings,
     mesh_settings: MeshSettings,
+    mut signals: DaemonSignals,
     executor: Rc<LocalExecutor<'static>>,
 ) -> Result<(), DaemonError> {
-    let mut signals =
-        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(DaemonError::Signals)?;
     let link_listener = listen(settings.control_addr).await?;
     let caller_listener = listen(settings.caller_addr).await?;
     let operator_listener = listen(settings.operator_addr).await?;
     let ready_listener = listen(mesh_settings.ready_addr).await?;
+    if signals.is_stop_pending().await? {
+        log_event(Event::DaemonStopped, "reason=signal during the start");
+        return Ok(());
+    }
     let mut rng = ChaCha8Rng::seed_from_u64(random_seed()?);
     let local = DaemonRecord {
         name: settings.name.clone(),
@@ -295,12 +302,8 @@
             settings.platform_addr
         )
     });
-    while let Some(signal) = signals.next().await {
-        match signal {
-            Ok(Signal::Hup) => reload(&mesh, &path),
-            Ok(_) => break,
-            Err(error) => return Err(DaemonError::Signals(error)),
-        }
+    while signals.next().await? == SignalRequest::Reload {
+        reload(&mesh, &path);
     }
     drain(&mesh).await;
     Ok(())
--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -10,11 +10,10 @@
 use crate::metrics::Metrics;
 use crate::quic_connections::DaemonConnections;
 use crate::settings::Settings;
+use crate::signals::{DaemonSignals, SignalRequest};
 use async_channel::Sender;
 use async_executor::Executor;
 use async_net::TcpListener;
-use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
 use pomeloreach_core::balancer::Balancer;
 use pomeloreach_core::event::Event;
 use pomeloreach_core::matching::RouteTable;
@@ -130,7 +129,7 @@
 }
 
 /// Runs a daemon until it receives SIGTERM or SIGINT.
-pub fn run(settings: Settings) -> Result<(), DaemonError> {
+pub fn run(settings: Settings, signals: DaemonSignals) -> Result<(), DaemonError> {
     let executor = Arc::new(Executor::new());
     let (stop_workers, stopped) = async_channel::bounded::<()>(1);
     for _ in 1..settings.worker_threads {
@@ -141,7 +140,8 @@
             }));
         });
     }
-    let result = async_io::block_on(executor.run(run_until_signal(settings, executor.clone())));
+    let result =
+        async_io::block_on(executor.run(run_until_signal(settings, signals, executor.clone())));
     drop(stop_workers);
     result
 }
@@ -149,13 +149,17 @@
 /// Starts the tasks of the daemon, waits for a signal, then drains and stops.
 async fn run_until_signal(
     settings: Settings,
+    mut signals: DaemonSignals,
     executor: Arc<Executor<'static>>,
 ) -> Result<(), DaemonError> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(DaemonError::Signals)?;
     let tls = settings.tls.as_ref().ok_or(DaemonError::TlsMissing)?;
     let endpoint = crate::quic::bind(settings.control_addr, tls, &executor)?;
     let caller_listener = listen(settings.caller_addr).await?;
     let operator_listener = listen(settings.operator_addr).await?;
+    if signals.is_stop_pending().await? {
+        log_event(Event::DaemonStopped, "reason=signal during the start");
+        return Ok(());
+    }
     let (control_inputs, received_inputs) = async_channel::bounded(QUEUED_INPUTS_MAX);
     let mut rng = ChaCha8Rng::seed_from_u64(random_seed()?);
     let local = new_daemon_info(&settings, &mut rng);
@@ -190,7 +194,9 @@
     shared.spawn(crate::local_target::monitor(shared.clone()));
     shared.spawn(crate::logging::flush_periodically());
     log_event(Event::DaemonStarted, &format!("instance={}", shared.local.instance));
-    signals.next().await;
+    while signals.next().await? == SignalRequest::Reload {
+        log_event(Event::SettingsRefused, "reason=without the section 'mesh', a restart is needed");
+    }
     drain(&shared).await;
     endpoint.close(0u32.into(), b"stopped");
     endpoint.wait_idle().await;
