HTTP client: a status outside 100 to 599, and 101, are no response

A target's response with a status of 600 to 999 was passed on to the caller as it was, with the target's signature, from the local target and over links. It did not count as a failure, its connection was used again, and a refusal with such a status (`pomeloreach-not-executed`) was reported as 503, not run. An idempotent request was repeated, but its caller got that response if no other target had a better one.

`http::StatusCode` accepts 100 to 999, and the client checked no further. Status 000 and others below 100 were refused already, as were statuses of two or four digits.

The client now takes a head with any other status than 100 to 599 as malformed. The request then counts as one that may have run (`answer-cut`, 502), the target's failure is counted and the connection is closed. 101 is malformed too: no request asks for another protocol, and the bytes that follow were read as the next response, or awaited until the deadline. Other informational responses are skipped as before.

The stand-in target got a behaviour that sends raw bytes.

--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -43,6 +43,8 @@
     pub drop_answers: bool,
     /// Every request fails with status 500, while the target announces itself as ready.
     pub lie_ready: bool,
+    /// Sent instead of each response, after which the connection is closed.
+    pub raw_answer: Option<String>,
     /// How much longer the bodies of responses are, in bytes.
     pub fill_bytes: usize,
 }
@@ -55,6 +57,7 @@
             cut_answers: false,
             drop_answers: false,
             lie_ready: false,
+            raw_answer: None,
             fill_bytes: 0,
         }
     }
@@ -218,6 +221,10 @@
             connection.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf").await.ok();
             connection.close().await.ok();
         }
+        if let Some(answer) = &behaviour.raw_answer {
+            connection.write_all(answer.as_bytes()).await.ok();
+            connection.close().await.ok();
+        }
         if behaviour.lie_ready {
             return Response::new(StatusCode::InternalServerError);
         }
--- a/crates/wire/src/h1/client.rs
+++ b/crates/wire/src/h1/client.rs
@@ -162,6 +162,10 @@
             None => reading_head.await?,
         };
         reader.set_silence_max_ms(timeouts.map(|timeouts| timeouts.silence_ms));
+        if head.status() == StatusCode::SWITCHING_PROTOCOLS {
+            // What follows is not HTTP/1.1, and no request asks for another protocol.
+            return Err(malformed("the server switched to another protocol").into());
+        }
         if head.status().is_informational() {
             continue;
         }
--- a/crates/wire/src/h1/reader.rs
+++ b/crates/wire/src/h1/reader.rs
@@ -145,8 +145,7 @@
             let status = parsed.parse(&self.buffer).map_err(malformed)?;
             if let httparse::Status::Complete(length) = status {
                 let mut response = Response::new(());
-                *response.status_mut() =
-                    StatusCode::from_u16(parsed.code.unwrap_or_default()).map_err(malformed)?;
+                *response.status_mut() = http_status(parsed.code)?;
                 *response.version_mut() = http_version(parsed.version);
                 *response.headers_mut() = header_map(parsed.headers)?;
                 self.buffer.advance(length);
@@ -301,6 +300,13 @@
     MessageError::Malformed(reason.to_string())
 }
 
+/// The status of a response. `StatusCode` allows 600 to 999 as well, which HTTP does not have.
+fn http_status(code: Option<u16>) -> Result<StatusCode, MessageError> {
+    let code = code.filter(|code| (100..=599).contains(code));
+    let code = code.ok_or_else(|| malformed("the status is not from 100 to 599"))?;
+    StatusCode::from_u16(code).map_err(malformed)
+}
+
 fn http_version(minor: Option<u8>) -> Version {
     if minor == Some(0) { Version::HTTP_10 } else { Version::HTTP_11 }
 }
--- a/crates/wire/tests/http_client.rs
+++ b/crates/wire/tests/http_client.rs
@@ -161,3 +161,33 @@
     let error = results.pop().unwrap().unwrap_err();
     assert!(matches!(error, ExchangeError::NoResponse(MessageError::Closed)), "{error}");
 }
+
+/// A status above 599 was returned as that of a response, and after 101 the bytes that followed were
+/// read as the next response, or awaited in vain.
+#[yare::parameterized(
+    zero = { "000 None" },
+    below_informational = { "099 None" },
+    switching_protocols = { "101 Switching Protocols" },
+    above_server_errors = { "600 None" },
+    largest = { "999 None" },
+)]
+fn status_that_http_does_not_have(status: &str) {
+    let response = format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n{OK}");
+    let (results, must_close) = exchange_all(&[&response], &["/"]);
+    let error = results[0].as_ref().unwrap_err();
+    assert!(matches!(error, ExchangeError::NoResponse(MessageError::Malformed(_))), "{error}");
+    assert!(must_close);
+}
+
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+
+/// Every status of HTTP, also one that nobody registered.
+#[yare::parameterized(
+    unregistered = { "299" },
+    unregistered_error = { "599" },
+)]
+fn status_without_a_meaning(status: &str) {
+    let response = format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n");
+    let (results, _) = exchange_all(&[&response], &["/"]);
+    assert_eq!(results[0].as_ref().unwrap().status().as_str(), status);
+}
