Results of other daemons are checked before they reach a caller

A daemon took the result of a call as another daemon sent it. With the section `mesh`, a status of 600 to 999 or of 1xx reached the caller; 0 and others became 502, but with the target's headers, its signature included, and its body. A result code that is none of requests reached the caller with the status of that code: `edit-accepted` as 200, `not-found` as 404, and `store-away` as 503, which promises that the request has not run. Without `mesh`, a status unknown to `http-types` also became 502 with the target's headers, and `x-pomeloreach-outcome` said `answered`.

A result is now valid only if it is a target's response with a status of 200 to 599, or a refusal with the code of a request. Any other counts as `answer-cut`: the request may have run, and the caller gets 502 without the target's headers.

The same check in daemons without `mesh` has no test with a stand-in peer, which would need certificates and membership.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -45,6 +45,15 @@
 }
 
 impl CallResponse {
+    /// Whether the response can be passed on. Other daemons may send anything: a target's response must
+    /// have a status that a final HTTP response can have, and a refusal the code of a request.
+    pub fn is_valid(&self) -> bool {
+        match self.code {
+            ResultCode::Answered => (200..=599).contains(&self.http_status),
+            code => (2001..=2999).contains(&code.number()),
+        }
+    }
+
     /// A response without an HTTP response of the target.
     pub fn refusal(code: ResultCode, in_flight: u16) -> Self {
         Self { code, http_status: 0, headers: Vec::new(), body_bytes: 0, in_flight }
--- a/crates/daemon/src/mesh/attempt.rs
+++ b/crates/daemon/src/mesh/attempt.rs
@@ -1,7 +1,10 @@
 //! One attempt of a request: at the local inbound proxy, or over a link at that of a peer.
 
 use super::{Mesh, inbound, peer_calls};
+use crate::logging::log_with;
+use pomeloreach_core::call::CallResponse;
 use pomeloreach_core::code::ResultCode;
+use pomeloreach_core::event::Event;
 use pomeloreach_core::mesh::message::{InboundRequest, InboundResponse};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -13,10 +16,19 @@
     peer: Option<Arc<str>>,
     request: InboundRequest,
 ) -> InboundResponse {
-    match peer {
+    let response = match &peer {
         None => run_locally(&mesh, request).await,
-        Some(peer) => run_at_peer(&mesh, &peer, request).await,
+        Some(peer) => run_at_peer(&mesh, peer, request).await,
+    };
+    if response.response.is_valid() {
+        return response;
     }
+    log_with(Event::InputRefused, || {
+        let CallResponse { code, http_status, .. } = &response.response;
+        let peer = peer.as_deref().unwrap_or(&mesh.local.name);
+        format!("peer={peer} reason=invalid result code={code} status={http_status}")
+    });
+    InboundResponse::failed(ResultCode::AnswerCut, true)
 }
 
 async fn run_locally(mesh: &Rc<Mesh>, request: InboundRequest) -> InboundResponse {
--- a/crates/daemon/src/mesh/response.rs
+++ b/crates/daemon/src/mesh/response.rs
@@ -15,9 +15,11 @@
 
 /// Converts the response of a target to HTTP.
 pub fn target_response(target: TargetResponse) -> Response<Bytes> {
+    let Ok(status) = StatusCode::from_u16(target.head.http_status) else {
+        return bad_gateway();
+    };
     let mut response = Response::new(target.body);
-    let status = StatusCode::from_u16(target.head.http_status);
-    *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.status_mut() = status;
     for header in &target.head.headers {
         let name = HeaderName::from_bytes(header.name.as_bytes());
         let value = HeaderValue::from_str(&header.value);
@@ -28,6 +30,13 @@
     response
 }
 
+/// The response in place of one that HTTP does not have, without the target's headers.
+fn bad_gateway() -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
+    *response.status_mut() = StatusCode::BAD_GATEWAY;
+    response
+}
+
 /// The response of the daemon to a request that got no response from a target.
 pub fn refusal_response(
     request_id: &str,
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -267,6 +267,7 @@
     } else {
         calls::send_call(shared, target, head, body, timeout_ms).await
     };
+    let result = result.and_then(checked);
     match &result {
         Ok(reply) => guard.end(Observation::of(reply.head.code), Some(reply.head.in_flight)),
         Err(code) => guard.end(Observation::of(*code), None),
@@ -274,6 +275,14 @@
     result
 }
 
+/// Refuses a response that cannot be passed on to a caller. The request may have run.
+fn checked(response: calls::FullCallResponse) -> Result<calls::FullCallResponse, ResultCode> {
+    let head = &response.head;
+    let is_sendable =
+        head.code != ResultCode::Answered || StatusCode::try_from(head.http_status).is_ok();
+    if head.is_valid() && is_sendable { Ok(response) } else { Err(ResultCode::AnswerCut) }
+}
+
 /// Builds the HTTP response to the caller.
 fn http_response(result: RequestResult) -> Response {
     let outcome = result.code.outcome();
