--- a/crates/core/tests/quota_schedules.rs
+++ b/crates/core/tests/quota_schedules.rs
@@ -54,6 +54,11 @@
     },
     /// Daemons have each the same demand.
     Spread,
+    /// All demand moves to one zone and back several times, so that loans are still used there when
+    /// the lenders need their shares.
+    Flip {
+        zone: usize,
+    },
     Idle,
 }
 
@@ -70,6 +75,7 @@
         1 => Just(Step::LowerLimits),
         3 => (0..ZONES).prop_map(|zone| Step::Shift { zone }),
         2 => Just(Step::Spread),
+        1 => (0..ZONES).prop_map(|zone| Step::Flip { zone }),
         1 => Just(Step::Idle),
     ];
     prop::collection::vec((50..1_500u64, step), 4..24)
@@ -117,6 +123,15 @@
         Step::Spread => {
             (0..count).for_each(|daemon| fleet.set_rates(daemon, demand(1.0 / count as f64)));
         }
+        Step::Flip { zone } => {
+            for _ in 0..5 {
+                for (step, ms) in [(Step::Shift { zone }, 900), (Step::Spread, 500)] {
+                    apply(fleet, step);
+                    let end_ms = fleet.now_ms + ms;
+                    fleet.run_until(end_ms);
+                }
+            }
+        }
         Step::Idle => (0..count).for_each(|daemon| fleet.set_rates(daemon, demand(0.0))),
     }
 }
