--- a/crates/wire/src/h1/body.rs
+++ b/crates/wire/src/h1/body.rs
@@ -55,7 +55,7 @@
             return Err(MessageError::NoMemory);
         }
         if let Some(hold) = self.hold {
-            hold.set_bytes(self.charge.bytes());
+            hold.add_bytes(missing);
         }
         let additional = capacity.saturating_sub(self.bytes.len());
         self.bytes.try_reserve_exact(additional).map_err(|_| MessageError::NoMemory)
--- a/crates/wire/src/h1/server.rs
+++ b/crates/wire/src/h1/server.rs
@@ -197,7 +197,8 @@
             Err(error) => return Err(stop_reason(&error)),
         };
         let request_bytes = REQUEST_BYTES + HEAD_COPIES * head_bytes;
-        let Some(charge) = self.charge_request(request_bytes).await else {
+        let hold = self.memory.hold(HolderKind::Request);
+        let Some(charge) = self.charge_request(&hold, request_bytes).await else {
             return Err(self.overloaded(&head, Bound::Memory));
         };
         // `100 Continue` is sent only if no earlier response is outstanding: the client would
@@ -208,7 +209,6 @@
                 return Err(Stop::Disconnected);
             }
         }
-        let hold = self.memory.hold(HolderKind::Request);
         let body = {
             let bytes_max = limits.body_bytes_max;
             let reading = self.reader.read_body(framing, bytes_max, &self.memory, Some(&hold));
@@ -251,11 +251,15 @@
 
     /// Charges a request apart from its body. Waits for room while earlier requests of the connection
     /// are in progress, since their responses make some.
-    async fn charge_request(&self, bytes: usize) -> Option<Charge> {
+    async fn charge_request(&self, hold: &Hold, bytes: usize) -> Option<Charge> {
+        let mut charge = self.memory.empty_charge();
         loop {
-            let charge = self.memory.try_charge(bytes);
-            if charge.is_some() || self.unsent.activity.is_idle() {
-                return charge;
+            if charge.try_grow(Some(hold), bytes, Purpose::Request { bytes }) {
+                hold.add_bytes(bytes);
+                return Some(charge);
+            }
+            if self.unsent.activity.is_idle() {
+                return None;
             }
             sleep_ms(RESPONSES_POLL_MS).await;
         }
--- a/crates/wire/src/memory/budget.rs
+++ b/crates/wire/src/memory/budget.rs
@@ -98,6 +98,13 @@
         self.last_id
     }
 
+    /// Adds to how much of the used memory a holder has.
+    pub fn add_holder_bytes(&mut self, id: u64, bytes: usize) {
+        if let Some(holder) = self.holders.get(&id) {
+            self.set_holder_bytes(id, holder.bytes.saturating_add(bytes));
+        }
+    }
+
     /// Sets how much of the used memory a holder has.
     pub fn set_holder_bytes(&mut self, id: u64, bytes: usize) {
         if let Some(holder) = self.holders.get_mut(&id) {
--- a/crates/wire/src/memory/mod.rs
+++ b/crates/wire/src/memory/mod.rs
@@ -163,6 +163,11 @@
 }
 
 impl Hold {
+    /// Adds charged bytes to those that this holder has.
+    pub fn add_bytes(&self, bytes: usize) {
+        self.memory.state().budget.add_holder_bytes(self.id, bytes);
+    }
+
     /// Sets how many of the charged bytes this holder has.
     pub fn set_bytes(&self, bytes: usize) {
         self.memory.state().budget.set_holder_bytes(self.id, bytes);
--- a/crates/wire/tests/memory_bounds.rs
+++ b/crates/wire/tests/memory_bounds.rs
@@ -182,6 +182,23 @@
     assert!(service.memory.used_bytes() < 64 * 1024, "the bodies are released");
 }
 
+/// Incomplete requests with short bodies, of which there may be many, make room for a complete one.
+#[test]
+fn short_stalled_bodies_make_room() {
+    let service = Bounded::default();
+    with_server(&service, async |addr| {
+        let mut stalled = Vec::new();
+        // Each of them takes more than 4 KiB, so that there is no room for all.
+        for _ in 0..BUDGET_BYTES / (4 * 1024) {
+            stalled.push(start_upload(addr, 10, 9).await);
+        }
+        assert!(upload(addr, 20 * 1024).await.starts_with("HTTP/1.1 200 "));
+        let refusal = response(&mut stalled[0]).await;
+        assert!(refusal.starts_with("HTTP/1.1 503 "), "{refusal}");
+    });
+    assert!(service.bounds.borrow().iter().all(|bound| *bound == Bound::StalledRequest));
+}
+
 /// A body far over the limit that is just sent is refused without being read to its end.
 #[test]
 fn endless_body_is_refused() {
