--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -235,29 +235,7 @@
                 Err(_) => break,
             },
         };
-        let mut bytes = first;
-        let mut count = 1;
-        if bytes.len() <= JOINED_BYTES_MAX
-            && let Ok(second) = frames.try_recv()
-        {
-            let mut joined = Vec::new();
-            next = Some(second);
-            while let Some(frame) = next.take() {
-                if joined.len().max(bytes.len()) + frame.len() > JOINED_BYTES_MAX {
-                    next = Some(frame);
-                    break;
-                }
-                if joined.is_empty() {
-                    joined.extend_from_slice(&bytes);
-                }
-                joined.extend_from_slice(&frame);
-                count += 1;
-                next = frames.try_recv().ok();
-            }
-            if !joined.is_empty() {
-                bytes = joined.into();
-            }
-        }
+        let (bytes, count) = join_frames(first, &frames, &mut next);
         if stream.write_all(&bytes).await.is_err() {
             shutdown = Shutdown::Both;
             break;
@@ -270,6 +248,25 @@
     stream.shutdown(shutdown).ok();
 }
 
+/// Joins a frame with the small ones behind it. Returns the bytes to write and the number of frames.
+/// Sets `next` to a frame that is too large to be joined to those before it.
+fn join_frames(first: Bytes, frames: &Receiver<Bytes>, next: &mut Option<Bytes>) -> (Bytes, usize) {
+    let mut joined = Vec::new();
+    let mut count = 1;
+    while let Ok(frame) = frames.try_recv() {
+        if joined.len().max(first.len()) + frame.len() > JOINED_BYTES_MAX {
+            *next = Some(frame);
+            break;
+        }
+        if joined.is_empty() {
+            joined.extend_from_slice(&first);
+        }
+        joined.extend_from_slice(&frame);
+        count += 1;
+    }
+    (if joined.is_empty() { first } else { joined.into() }, count)
+}
+
 /// Adds the daemons that a peer or the store has listed.
 pub fn add_known_daemons(mesh: &Rc<Mesh>, records: Vec<DaemonRecord>) {
     let now_ms = mesh.now_ms();
