--- a/crates/daemon/src/mesh/accounts.rs
+++ b/crates/daemon/src/mesh/accounts.rs
@@ -3,23 +3,23 @@
 use super::Mesh;
 use http::HeaderMap;
 use pomeloreach_core::account::combined_rank;
-use pomeloreach_core::account_index::{KeyProblem, MatchedAccount};
+use pomeloreach_core::account_index::{AccountIndex, KeyProblem, MatchedAccount};
 use pomeloreach_core::matching::MatchedRoute;
 use pomeloreach_platform::headers;
 use std::sync::Arc;
 
-/// Determines the client account of a request by the version in force, and counts the request for
-/// it.
+/// Determines the client account of a request, and counts the request for it. `accounts` must be those
+/// of the version in force.
 ///
 /// # Errors
 ///
 /// Returns what is wrong with the key if the request must be refused.
 pub fn account_of(
     mesh: &Mesh,
+    accounts: &AccountIndex,
     route: &MatchedRoute,
     request_headers: &HeaderMap,
 ) -> Result<Option<Arc<MatchedAccount>>, KeyProblem> {
-    let accounts = mesh.config.accounts();
     if accounts.is_empty() {
         return Ok(None);
     }
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -12,7 +12,7 @@
 use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderMap, Response};
-use pomeloreach_core::account_index::{KeyProblem, MatchedAccount};
+use pomeloreach_core::account_index::{AccountIndex, KeyProblem, MatchedAccount};
 use pomeloreach_core::call::CallRequest;
 use pomeloreach_core::code::ResultCode;
 use pomeloreach_core::event::Event;
@@ -91,7 +91,8 @@
         let code = missing_route_code(mesh.config.version(), mesh.newest_known_version());
         return refuse(mesh, &caller.request_id, code);
     };
-    let account = match account_of(mesh, route, &head.headers) {
+    let accounts = mesh.config.accounts();
+    let account = match account_of(mesh, &accounts, route, &head.headers) {
         Ok(account) => account,
         Err(problem) => return refuse_key(mesh, &caller.request_id, route, problem),
     };
@@ -108,7 +109,7 @@
         service: weighted.pool.service,
         rank: rank(account.as_deref(), route),
         attempts: Attempts::new(RetryPolicy { is_idempotent, attempts_max, deadline_ms }),
-        request: call_request(mesh, &head, &body, account.as_deref()),
+        request: call_request(mesh, &accounts, &head, &body, account.as_deref()),
         account,
         request_id: caller.request_id,
         body,
@@ -183,6 +184,7 @@
 /// The parts of a request that are the same for each attempt.
 fn call_request(
     mesh: &Mesh,
+    accounts: &AccountIndex,
     head: &Parts,
     body: &Bytes,
     account: Option<&MatchedAccount>,
@@ -190,7 +192,7 @@
     let mut forwarded = head.headers.clone();
     headers::set_caller_service(&mut forwarded, &mesh.mesh_settings.borrow().service);
     headers::remove_account(&mut forwarded);
-    if !mesh.config.accounts().is_empty() {
+    if !accounts.is_empty() {
         headers::remove_credentials(&mut forwarded);
     }
     let mut forwarded = end_to_end_headers(&forwarded);
