--- a/crates/core/tests/quota_messages.rs
+++ b/crates/core/tests/quota_messages.rs
@@ -246,3 +246,14 @@
     }
     assert!(requests < 40, "{requests} requests for credit for 400 requests");
 }
+
+/// An account that a version removes and the next one adds again has a full bucket again.
+#[test]
+fn added_account_starts_empty() {
+    let mut node = node(100);
+    assert_eq!(drain(&mut node, 10_000), CAPACITY as usize / 2);
+    node.set_limits(BTreeMap::new(), QuotaTerms::default(), 10_000);
+    assert_eq!(node.try_take(ACCOUNT, 10_000), Take::Unlimited);
+    node.set_limits(limits(100), QuotaTerms::default(), 10_000);
+    assert_eq!(drain(&mut node, 10_000), 0);
+}
--- a/crates/daemon/src/mesh/quota.rs
+++ b/crates/daemon/src/mesh/quota.rs
@@ -187,8 +187,9 @@
 ) -> Response<Bytes> {
     let code = ResultCode::QuotaExceeded;
     mesh.metrics.request_ended(code, took_ms);
-    let refused =
-        RefusedRequest { wait_ms: refusal.wait_ms, left_ms, rank: 0, random: mesh.random() };
+    // At most half of the longest time, so that the random part still spreads the callers.
+    let wait_ms = refusal.wait_ms.min(left_ms / 6);
+    let refused = RefusedRequest { wait_ms, left_ms, rank: 0, random: mesh.random() };
     let retry_after_ms = retry_after::retry_after_ms(refused);
     log_with(Event::RequestFailed, || {
         format!(
