A caller cannot remove the name of its service from a request

A request whose `Connection` header listed `Pomeloreach-Caller-Service` reached its target without the name of the service that it came from, which targets rely on.

The daemon set the header among those of the caller and then left out all that `Connection` lists. The headers that a daemon sets are now added after that, as that of the account is.

Test: platform caller_service, whose case `listed` failed before.

--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -221,13 +221,14 @@
     body: &Bytes,
     account: Option<&MatchedAccount>,
 ) -> CallRequest {
-    let mut forwarded = head.headers.clone();
-    headers::set_caller_service(&mut forwarded, &mesh.mesh_settings.borrow().service);
-    headers::remove_account(&mut forwarded);
+    let mut of_caller = head.headers.clone();
+    headers::remove_daemon_headers(&mut of_caller);
     if !accounts.is_empty() {
-        headers::remove_credentials(&mut forwarded);
+        headers::remove_credentials(&mut of_caller);
     }
-    let mut forwarded = end_to_end_headers(&forwarded);
+    let mut forwarded = end_to_end_headers(&of_caller);
+    let service = &mesh.mesh_settings.borrow().service;
+    forwarded.push(headers::caller_service_header(service));
     forwarded.extend(account.map(|account| headers::account_header(&account.name)));
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     CallRequest {
