A new connection reclaims memory like a small request

Connections had a limit of their own on the budget and closed nobody for it. Connections are now bounded to half of the budget by their number, and their charge displaces incomplete requests and unread responses.

--- a/crates/daemon/src/mesh/caller_connections.rs
+++ b/crates/daemon/src/mesh/caller_connections.rs
@@ -5,7 +5,7 @@
 use async_channel::{Receiver, Sender};
 use pomeloreach_wire::clock::Clock;
 use pomeloreach_wire::h1::ConnectionActivity;
-use pomeloreach_wire::memory::Charge;
+use pomeloreach_wire::memory::{Charge, Memory};
 use rustix::process::{Resource, getrlimit};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -20,6 +20,9 @@
 /// 11 to 26 kB.
 const CONNECTION_BYTES: usize = 16 * 1024;
 
+/// Connections may take one part of this many of the memory budget.
+const MEMORY_DIVISOR: usize = 2;
+
 struct OpenConnection {
     activity: Rc<ConnectionActivity>,
     /// Dropped to close the connection at once.
@@ -38,16 +41,18 @@
 pub enum Admission {
     /// The connection is served. `has_closed` tells whether another one is closed for it.
     Served { connection: CallerConnection, has_closed: bool },
-    /// Requests run on all open connections.
+    /// Requests run on all open connections, or take all of the memory budget.
     Full,
 }
 
 impl CallerConnections {
-    pub fn new(settings: &MeshSettings, clock: Clock) -> Self {
+    pub fn new(settings: &MeshSettings, memory: &Memory, clock: Clock) -> Self {
         let system_max = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
         let descriptors = settings.descriptors_max.min(system_max);
         let reserved = (descriptors / RESERVED_DIVISOR).max(RESERVED_MIN);
+        let memory_max = memory.total_bytes() / MEMORY_DIVISOR / CONNECTION_BYTES;
         let max = usize::try_from(descriptors.saturating_sub(reserved)).unwrap_or(usize::MAX);
+        let max = max.min(memory_max);
         Self { clock, open: RefCell::default(), last_id: Cell::new(0), max: max.max(1) }
     }
 
@@ -55,18 +60,18 @@
         self.open.borrow().len()
     }
 
-    /// Adds a connection. If there are as many as there may be, or the memory budget has no room for
-    /// another one, one is closed for it on which no
-    /// request runs or whose client reads no responses: the one without progress for longest.
+    /// Adds a connection. If there are as many as there may be, one is closed for it on which no
+    /// request runs or whose client reads no responses: the one without progress for longest. It is
+    /// charged like a small request, for which incomplete requests and unread responses give way.
     pub fn add(mesh: &Rc<Mesh>) -> Admission {
         let connections = &mesh.caller_connections;
-        let charge = mesh.memory.try_charge_connection(CONNECTION_BYTES);
-        let has_closed = connections.count() >= connections.max || charge.is_none();
+        let has_closed = connections.count() >= connections.max;
         if has_closed && !connections.close_one() {
             return Admission::Full;
         }
-        // The memory of the connection that is closed is released as soon as its task has ended.
-        let charge = charge.unwrap_or_else(|| mesh.memory.charge(CONNECTION_BYTES));
+        let Some(charge) = mesh.memory.try_charge(CONNECTION_BYTES) else {
+            return Admission::Full;
+        };
         let id = connections.last_id.get() + 1;
         connections.last_id.set(id);
         let activity = Rc::new(ConnectionActivity::new(connections.clock));
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -236,6 +236,7 @@
         local_target.set_knows_departed();
     }
     let clock = Clock::default();
+    let memory = callers::memory_budget(mesh_settings.memory_mb);
     let mesh = Rc::new(Mesh {
         clock,
         executor,
@@ -257,8 +258,8 @@
         is_leaving: Cell::new(false),
         stop: async_channel::bounded(1),
         in_flight: Cell::new(0),
-        caller_connections: CallerConnections::new(&mesh_settings, clock),
-        memory: callers::memory_budget(mesh_settings.memory_mb),
+        caller_connections: CallerConnections::new(&mesh_settings, &memory, clock),
+        memory,
         local,
         settings,
         mesh_settings: RefCell::new(Rc::new(mesh_settings)),
--- a/crates/wire/src/h1/service.rs
+++ b/crates/wire/src/h1/service.rs
@@ -40,7 +40,7 @@
     UnreadTime,
     /// The connection was idle or stalled, and its descriptor or its memory was needed.
     Descriptors,
-    /// A new connection was closed, because requests run on all others.
+    /// A new connection was closed, because requests run on all others or take all memory.
     Connections,
 }
 
--- a/crates/wire/src/memory/budget.rs
+++ b/crates/wire/src/memory/budget.rs
@@ -19,9 +19,6 @@
 pub enum Purpose {
     /// A request that has not run, of this size in all.
     Request { bytes: usize },
-    /// A connection on which nothing has been received. No other one is closed for its memory here:
-    /// whoever accepts connections decides which one.
-    Connection,
     /// A response, or a message between daemons. Its memory is always granted: the request has run,
     /// or the message was received already.
     Result,
@@ -141,8 +138,6 @@
         now_ms: u64,
     ) -> Decision {
         let (limit_bytes, is_large) = match purpose {
-            // A half of the reserve is left, so that requests on the connections find memory.
-            Purpose::Connection => (self.total_bytes - self.reserve_bytes / 2, false),
             Purpose::Request { bytes } if bytes > SMALL_BYTES_MAX => {
                 (self.request_bytes_max(), true)
             }
@@ -152,7 +147,7 @@
         let wanted_bytes = kept_bytes.saturating_add(bytes);
         let mut excess_bytes = wanted_bytes.saturating_sub(limit_bytes);
         let mut closed = Vec::new();
-        if excess_bytes > 0 && purpose != Purpose::Connection {
+        if excess_bytes > 0 {
             for (id, holder_bytes) in self.candidates(own, purpose, is_large, now_ms) {
                 closed.push(id);
                 excess_bytes = excess_bytes.saturating_sub(holder_bytes);
--- a/crates/wire/src/memory/mod.rs
+++ b/crates/wire/src/memory/mod.rs
@@ -73,12 +73,6 @@
         charge.try_grow(None, bytes, Purpose::Request { bytes }).then_some(charge)
     }
 
-    /// Charges a new connection. `None` if the budget has no room for it.
-    pub fn try_charge_connection(self: &Arc<Self>, bytes: usize) -> Option<Charge> {
-        let mut charge = self.empty_charge();
-        charge.try_grow(None, bytes, Purpose::Connection).then_some(charge)
-    }
-
     /// Charges bytes that are in memory in any case.
     pub fn charge(self: &Arc<Self>, bytes: usize) -> Charge {
         let mut charge = self.empty_charge();
