Quotas: delegations and loans last half as long, so that a restart refuses for 1 s

After all daemons had restarted, every request of an account with a quota got 429 for two seconds, since a daemon uses its share only when an earlier delegation of it must have ended. A zone whose keeper was lost had no credit for as long.

Delegations last 1 s, loans 0.5 s, and a renewal is due each 250 ms, so that the relations between them stay: a delegation ends before the new process uses the share, and a loan fits into what is left of a delegation.

--- a/crates/core/src/mesh/quota/mod.rs
+++ b/crates/core/src/mesh/quota/mod.rs
@@ -29,16 +29,17 @@
 pub const CREDIT_WAIT_MS: u64 = 150;
 /// How long a delegation lasts. Not longer than `START_MS`, so that the delegation of a daemon that
 /// restarts has ended when its new process uses the share.
-pub const DELEGATION_MS: u64 = 2_000;
+pub const DELEGATION_MS: u64 = 1_000;
 /// How often a daemon without demand renews its delegation. A renewal refers to the grant before it,
 /// so that at least `LOAN_MS` of a delegation are left at each time, and its share can be lent.
-pub const RENEWAL_MS: u64 = 500;
+pub const RENEWAL_MS: u64 = 250;
 /// How long a loan lasts.
-pub const LOAN_MS: u64 = 1_000;
+pub const LOAN_MS: u64 = 500;
 /// The shortest time between two requests for loans.
 pub const LOAN_INTERVAL_MS: u64 = 250;
-/// How long after its start a daemon begins to use its base share: the others count it by then.
-pub const START_MS: u64 = 2_000;
+/// How long after its start a daemon begins to use its base share: the others count it by then. A
+/// whole fleet that restarts refuses all requests of accounts with a quota for this time.
+pub const START_MS: u64 = 1_000;
 /// How long a lower number of daemons must last before it raises the shares. The store can come back
 /// from an earlier copy, whose list lacks daemons that run.
 pub const FEWER_DAEMONS_MS: u64 = 10_000;
