A trailer that ends with bare line feeds no longer swallows the next request

A chunked request whose trailers ended with bare line feeds took the head of the next pipelined request with it, up to the next empty line with CR LF: that request was never answered, and the client took the response to the one after it for its own.

The end of the trailers was searched for as CR LF CR LF anywhere in the bytes received. They are now read line by line, and a line that does not end with CR LF gets 400.

Test: wire http_server refused_requests, case trailer_with_bare_line_feeds, failed before.

--- a/crates/wire/src/h1/reader.rs
+++ b/crates/wire/src/h1/reader.rs
@@ -317,20 +317,26 @@
 
     /// Reads and discards the trailers: they apply to this connection only and are not forwarded.
     async fn skip_trailers(&mut self) -> Result<(), MessageError> {
+        let mut read_bytes = 0;
         loop {
-            if self.buffer.starts_with(b"\r\n") {
-                self.buffer.advance(2);
-                return Ok(());
+            let end = self.buffer.iter().position(|byte| *byte == b'\n');
+            if read_bytes + end.unwrap_or(self.buffer.len()) > CHUNK_LINE_BYTES_MAX {
+                return Err(malformed("the trailers are too long"));
             }
-            let end = self.buffer.windows(4).position(|window| window == b"\r\n\r\n");
-            if let Some(end) = end {
-                self.buffer.advance(end + 4);
-                return Ok(());
+            let Some(end) = end else {
+                self.fill_or_truncated().await?;
+                continue;
+            };
+            // Another recipient could take a bare line feed for the end of a line, or not, and would
+            // then find the next request elsewhere.
+            if end == 0 || self.buffer[end - 1] != b'\r' {
+                return Err(malformed("a line of the trailers does not end with CR LF"));
             }
-            if self.buffer.len() > CHUNK_LINE_BYTES_MAX {
-                return Err(malformed("the trailers are too long"));
+            self.buffer.advance(end + 1);
+            read_bytes += end + 1;
+            if end == 1 {
+                return Ok(());
             }
-            self.fill_or_truncated().await?;
         }
     }
 
--- a/crates/wire/tests/http_server.rs
+++ b/crates/wire/tests/http_server.rs
@@ -106,6 +106,7 @@
     other_encoding = { "POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400 },
     bad_chunk_size = { "POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n", 400 },
     long_chunk = { "POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n2\r\nabcd\r\n0\r\n\r\n", 400 },
+    trailer_with_bare_line_feeds = { "POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n0\r\nt: v\n\nGET /b HTTP/1.1\r\nhost: h\r\n\r\n", 400 },
     space_before_colon = { "GET /a HTTP/1.1\r\nhost : h\r\n\r\n", 400 },
     not_http = { "\x16\x03\x01\x02\x00\x01\r\n\r\n", 400 },
     large_body = { "POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 65\r\n\r\n", 413 },
