--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -220,8 +220,8 @@
     Duplicate,
 }
 
-/// Writes queued frames, joining small ones that are available into one write. Then shuts the stream down
-/// in the directions of `shutdown`.
+/// Writes queued frames, joining small ones that are available into one write. Then shuts the stream
+/// down in the directions of `shutdown`.
 pub async fn write_frames(mut stream: TcpStream, queued: QueuedFrames, shutdown: Shutdown) {
     let QueuedFrames { frames, unwritten_count } = queued;
     let mut shutdown = shutdown;
--- a/crates/wire/src/h1/server.rs
+++ b/crates/wire/src/h1/server.rs
@@ -324,9 +324,10 @@
     }
 }
 
-/// Reads the head of the next request. Returns it with its size and the limits that apply to the request: those
-/// in force when its first bytes were read, since they can change while the connection is idle. An
-/// idle connection stays open while requests are in flight, and for the whole idle time after that.
+/// Reads the head of the next request. Returns it with its size and the limits that apply to the
+/// request: those in force when its first bytes were read, since they can change while the connection
+/// is idle. An idle connection stays open while requests are in flight, and for the whole idle time
+/// after that.
 async fn read_head<S: Service>(
     reader: &mut Reader,
     service: &S,
