--- a/crates/daemon/src/mesh/caller_connections.rs
+++ b/crates/daemon/src/mesh/caller_connections.rs
@@ -5,6 +5,7 @@
 use async_channel::{Receiver, Sender};
 use pomeloreach_wire::clock::Clock;
 use pomeloreach_wire::h1::ConnectionActivity;
+use pomeloreach_wire::memory::budget::CONNECTION_BYTES;
 use pomeloreach_wire::memory::{Charge, Memory};
 use rustix::process::{Resource, getrlimit};
 use std::cell::{Cell, RefCell};
@@ -16,13 +17,6 @@
 /// The least number of descriptors that are kept for these.
 const RESERVED_MIN: u64 = 64;
 
-/// The memory of an open connection: its tasks, its read buffer and the start of a request. Measured:
-/// 11 to 26 kB.
-const CONNECTION_BYTES: usize = 16 * 1024;
-
-/// Connections may take one part of this many of the memory budget.
-const MEMORY_DIVISOR: usize = 2;
-
 struct OpenConnection {
     activity: Rc<ConnectionActivity>,
     /// Dropped to close the connection at once.
@@ -50,9 +44,8 @@
         let system_max = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
         let descriptors = settings.descriptors_max.min(system_max);
         let reserved = (descriptors / RESERVED_DIVISOR).max(RESERVED_MIN);
-        let memory_max = memory.total_bytes() / MEMORY_DIVISOR / CONNECTION_BYTES;
         let max = usize::try_from(descriptors.saturating_sub(reserved)).unwrap_or(usize::MAX);
-        let max = max.min(memory_max);
+        let max = max.min(memory.connections_max());
         Self { clock, open: RefCell::default(), last_id: Cell::new(0), max: max.max(1) }
     }
 
--- a/crates/wire/src/memory/budget.rs
+++ b/crates/wire/src/memory/budget.rs
@@ -11,6 +11,11 @@
 /// A holder is stalled if it made no progress for this long, in milliseconds. A client on a slow path
 /// sends or reads some packets in this time.
 pub const STALL_MS: u64 = 1_000;
+/// The memory of an open connection: its tasks, its read buffer and the start of a request. Measured:
+/// 11 to 26 kB.
+pub const CONNECTION_BYTES: usize = 16 * 1024;
+/// Connections may take one part of this many of the budget.
+const CONNECTIONS_DIVISOR: usize = 2;
 /// The share of the budget that is reserved for small requests is one part of this many.
 const RESERVE_DIVISOR: usize = 8;
 
@@ -79,6 +84,11 @@
         self.total_bytes - self.reserve_bytes
     }
 
+    /// The largest number of open connections, so that their requests find memory.
+    pub fn connections_max(&self) -> usize {
+        self.total_bytes / CONNECTIONS_DIVISOR / CONNECTION_BYTES
+    }
+
     pub fn total_bytes(&self) -> usize {
         self.total_bytes
     }
--- a/crates/wire/src/memory/mod.rs
+++ b/crates/wire/src/memory/mod.rs
@@ -44,6 +44,11 @@
         self.state().budget.request_bytes_max()
     }
 
+    /// The largest number of open connections.
+    pub fn connections_max(&self) -> usize {
+        self.state().budget.connections_max()
+    }
+
     pub fn total_bytes(&self) -> usize {
         self.state().budget.total_bytes()
     }
--- a/crates/wire/tests/memory_budget.rs
+++ b/crates/wire/tests/memory_budget.rs
@@ -1,7 +1,7 @@
 //! What the memory budget grants, and which connections it closes, without sockets.
 
 use pomeloreach_wire::memory::budget::{
-    Budget, Decision, HolderKind, Purpose, SMALL_BYTES_MAX, STALL_MS,
+    Budget, CONNECTION_BYTES, Decision, HolderKind, Purpose, SMALL_BYTES_MAX, STALL_MS,
 };
 
 const KIB: usize = 1024;
@@ -111,6 +111,18 @@
     assert_eq!(next(), closed(&[]));
 }
 
+/// Connections that took all of the budget left no room for the requests on them.
+#[test]
+fn connections_leave_room_for_requests() {
+    let mut budget = Budget::new(TOTAL);
+    let connections = budget.connections_max();
+    assert!(connections > 0);
+    for _ in 0..connections {
+        assert_eq!(budget.request(None, CONNECTION_BYTES, SMALL, 0), closed(&[]));
+    }
+    assert_eq!(budget.request(None, TOTAL / 2, SMALL, 0), closed(&[]));
+}
+
 /// The sum of what is granted and not being closed never exceeds the budget, whatever comes.
 #[test]
 fn requests_stay_within_budget() {
