--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -25,6 +25,7 @@
     let code = match case.as_str() {
         "narrow-path" => case_pipeline::run(&record, trouble, case_pipeline::NARROW),
         "crossing" => case_pipeline::run(&record, trouble, case_pipeline::WIDE),
+        "burst" => case_pipeline::run(&record, trouble, case_pipeline::BURST),
         _ => 2,
     };
     record.say(match code {
