Review case 9: requests sent ahead, with their answers unread, exceed the memory

Claim: Fault. Clients that pipeline requests for large answers and read none make daemons exceed the memory of their machines.

--- a/review/standins-2/daemon.rs
+++ b/review/standins-2/daemon.rs
@@ -157,9 +157,18 @@
 
     /// The most memory that the process has used so far, in MB.
     pub fn peak_mb(&self) -> f64 {
+        self.status_mb("VmHWM:")
+    }
+
+    /// The memory that the process uses, in MB.
+    pub fn used_mb(&self) -> f64 {
+        self.status_mb("VmRSS:")
+    }
+
+    fn status_mb(&self, field: &str) -> f64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let line = status.lines().find_map(|line| line.strip_prefix(field));
         let kilobytes: f64 =
             line.and_then(|line| line.trim().strip_suffix(" kB")?.parse().ok()).unwrap_or(0.0);
         kilobytes / 1_024.0
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the second review that are scripts: `standins-2 CASE FOLDER`. Exits with 1 if the
 //! rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod case_flood;
 mod case_pipeline;
 mod daemon;
 mod http;
@@ -26,6 +27,7 @@
         "narrow-path" => case_pipeline::run(&record, trouble, case_pipeline::NARROW),
         "crossing" => case_pipeline::run(&record, trouble, case_pipeline::WIDE),
         "burst" => case_pipeline::run(&record, trouble, case_pipeline::BURST),
+        "flood" => case_flood::run(&record, trouble),
         _ => 2,
     };
     record.say(match code {
