--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -2,4 +2,4 @@
 # Runs the case. 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0 leaves the stop out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/pomeloreachd ] && [ -x target/review/standins-2 ] || exit 2
-exec timeout 110 target/review/standins-2 narrow-path review/7
+exec timeout 110 target/review/standins-2 crossing review/7
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the second review that are scripts: `standins-2 CASE FOLDER`. Exits with 1 if the
 //! rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod case_born;
 mod case_flood;
 mod case_pipeline;
 mod daemon;
@@ -28,6 +29,7 @@
         "crossing" => case_pipeline::run(&record, trouble, case_pipeline::WIDE),
         "burst" => case_pipeline::run(&record, trouble, case_pipeline::BURST),
         "flood" => case_flood::run(&record, trouble),
+        "born" => case_born::run(&record, trouble),
         _ => 2,
     };
     record.say(match code {
