--- a/review/standins-2/case_flood.rs
+++ b/review/standins-2/case_flood.rs
@@ -53,8 +53,11 @@
         for client in 0..CONNECTIONS {
             let (stop, answered) = (stop.clone(), answered.clone());
             threads.push(thread::spawn(move || {
-                while !stop.load(Ordering::SeqCst) {
-                    let name = format!("m{machine}c{client}");
+                for visit in 0.. {
+                    if stop.load(Ordering::SeqCst) {
+                        break;
+                    }
+                    let name = format!("m{machine}c{client}v{visit}");
                     let seen = if trouble { send_ahead(addr, &name) } else { read_answers(addr, &name) };
                     answered.fetch_add(seen, Ordering::SeqCst);
                 }
