Connections: no request starts once the last response is chosen

Cause: the writer chose the last response of a draining connection while no request was queued behind it, then wrote it. While that write waited for the client, the reader went on to read and start requests; they were dropped with the connection. Requests behind one with "Connection: close", and those that had started before a response with "Connection: close", were dropped in the same way. Each reason to end a connection decided it in its own place.

Change: ConnectionEnding owns the decision. Closing forbids further starts, and the last response is the one behind which none has started; reader and writer run in one thread, so nothing comes between.

--- a/crates/wire/src/h1/activity.rs
+++ b/crates/wire/src/h1/activity.rs
@@ -10,7 +10,7 @@
 pub struct ConnectionActivity {
     clock: Clock,
     received: ReceivedTime,
-    /// The number of requests that were read and whose responses are not sent yet.
+    /// The number of requests that have started or were refused, and whose responses are not sent yet.
     in_flight: Cell<usize>,
     /// When the last response was sent.
     last_sent_ms: Cell<u64>,
@@ -59,6 +59,10 @@
         self.in_flight.get() == 0
     }
 
+    pub(super) fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+
     pub(super) fn request_started(&self) {
         self.in_flight.set(self.in_flight.get() + 1);
     }
--- a/crates/wire/src/h1/mod.rs
+++ b/crates/wire/src/h1/mod.rs
@@ -7,6 +7,7 @@
 mod activity;
 mod body;
 pub mod client;
+mod ending;
 mod reader;
 mod responses;
 pub mod server;
--- a/crates/wire/src/h1/responses.rs
+++ b/crates/wire/src/h1/responses.rs
@@ -1,6 +1,7 @@
 //! The responses on a client's connection: they are queued in the order of the requests and sent.
 
 use super::activity::ConnectionActivity;
+use super::ending::ConnectionEnding;
 use super::service::Service;
 use super::{EncodedMessage, connection_lists, encode_headers};
 use crate::clock::within_ms;
@@ -19,8 +20,6 @@
     pub task: Task<Response<Bytes>>,
     /// The request has the method HEAD, so the response has no body.
     pub is_head_request: bool,
-    /// The connection is closed after this response.
-    pub is_last: bool,
 }
 
 /// The responses of a connection that are complete, and the holder of their memory.
@@ -54,21 +53,21 @@
     Unread,
 }
 
-/// Sends the queued responses in order, until one of them closes the connection.
+/// Sends the queued responses in order, up to the last one of the connection.
 pub async fn write_responses(
     mut stream: TcpStream,
     receiver: &Receiver<QueuedResponse>,
     unsent: &UnsentResponses,
+    ending: &ConnectionEnding,
     service: &impl Service,
 ) -> SendingEnd {
     while let Ok(queued) = receiver.recv().await {
         let response = queued.task.await;
         let body_bytes = response.body().len();
-        // Requests queued after this one have already started. Their responses are sent before the
-        // connection closes.
-        let is_draining = service.is_draining() && receiver.is_empty();
-        let is_last =
-            queued.is_last || is_draining || connection_lists(response.headers(), "close");
+        if connection_lists(response.headers(), "close") {
+            ending.close();
+        }
+        let is_last = ending.choose_last(service.is_draining());
         let message = encode(response, queued.is_head_request, is_last);
         let idle_timeout_ms = service.limits().idle_timeout_ms;
         for part in message.parts() {
--- a/crates/wire/src/h1/server.rs
+++ b/crates/wire/src/h1/server.rs
@@ -2,6 +2,7 @@
 
 use super::activity::ConnectionActivity;
 use super::connection_lists;
+use super::ending::ConnectionEnding;
 use super::reader::{Framing, MessageError, Reader, declared_framing};
 use super::responses::{QueuedResponse, SendingEnd, UnsentResponses, write_responses};
 use super::service::empty_response;
@@ -46,6 +47,8 @@
     Idle,
     /// The service accepts no more requests.
     ServiceStopped,
+    /// The connection is ending: the client has asked for it, or the last response was chosen.
+    Ending,
     /// The client sent a request that is refused with this status.
     Refused(StatusCode),
     /// The service can handle no request now, and responds with this.
@@ -74,6 +77,7 @@
     let (sender, receiver) = async_channel::bounded(PIPELINED_MAX);
     let memory = service.memory();
     let hold = memory.hold(HolderKind::Responses);
+    let ending = ConnectionEnding::new(activity.clone());
     let unsent = Rc::new(UnsentResponses { activity, hold });
     let writer = stream.clone();
     let reading = async {
@@ -84,10 +88,15 @@
             sender,
             memory,
             unsent: &unsent,
+            ending: &ending,
         };
-        let refusal = match request_reader.run().await {
+        let last_chosen = async {
+            ending.last_chosen().await;
+            Stop::Ending
+        };
+        let refusal = match or(last_chosen, request_reader.run()).await {
             Stop::Disconnected => return ConnectionEnd::Closed,
-            Stop::Idle | Stop::ServiceStopped => None,
+            Stop::Idle | Stop::ServiceStopped | Stop::Ending => None,
             Stop::Refused(status) => {
                 if status == StatusCode::PAYLOAD_TOO_LARGE {
                     service.bound_reached(Bound::BodySize);
@@ -103,6 +112,7 @@
         if let Some(response) = refusal {
             request_reader.refuse(response).await;
         }
+        ending.close();
         // `write_responses` ends after the responses that are queued.
         request_reader.sender.close();
         drop(request_reader);
@@ -110,7 +120,7 @@
         ConnectionEnd::Closed
     };
     let writing = async {
-        match write_responses(writer, &receiver, &unsent, service).await {
+        match write_responses(writer, &receiver, &unsent, &ending, service).await {
             SendingEnd::Finished => ConnectionEnd::LastMessageSent,
             SendingEnd::Unread => ConnectionEnd::Unread(Bound::UnreadTime),
         }
@@ -149,6 +159,7 @@
     sender: Sender<QueuedResponse>,
     memory: Arc<Memory>,
     unsent: &'a Rc<UnsentResponses>,
+    ending: &'a ConnectionEnding,
 }
 
 impl<S: Service> RequestReader<'_, S> {
@@ -172,13 +183,16 @@
             };
             match self.start_request(head, head_bytes, limits).await {
                 Ok(queued) => {
-                    self.unsent.activity.request_started();
+                    // The queue is closed only after the connection has failed.
                     if self.sender.send(queued).await.is_err() {
                         return Stop::Disconnected;
                     }
                 }
                 Err(stop) => return stop,
             }
+            if self.ending.is_closing() {
+                return Stop::Ending;
+            }
         }
     }
 
@@ -228,7 +242,6 @@
             Some(Some(Err(error))) => return Err(stop_reason(&error)),
             Some(Some(Ok(body))) => body,
         };
-        let is_last = !is_keep_alive(&head);
         let is_head_request = head.method() == Method::HEAD;
         if !matches!(*head.method(), Method::GET | Method::HEAD) {
             // A request that may not be repeated starts only after all earlier responses are
@@ -238,6 +251,12 @@
             }
         }
         drop(hold);
+        if !self.ending.start_request() {
+            return Err(Stop::Ending);
+        }
+        if !is_keep_alive(&head) {
+            self.ending.close();
+        }
         let response = self.service.respond(head.map(|()| body));
         let unsent = self.unsent.clone();
         let task = self.executor.spawn(async move {
@@ -246,7 +265,7 @@
             drop(charge);
             response
         });
-        Ok(QueuedResponse { task, is_head_request, is_last })
+        Ok(QueuedResponse { task, is_head_request })
     }
 
     /// Charges a request apart from its body. Waits for room while earlier requests of the connection
@@ -313,13 +332,18 @@
         Stop::Unavailable(self.service.overloaded(Some(head)))
     }
 
-    /// Queues an error response. It is sent after all earlier responses and closes the connection.
+    /// Queues an error response, which is sent after all earlier responses. There is none if an
+    /// earlier response is the last one of the connection.
     async fn refuse(&mut self, response: Response<Bytes>) {
         // What the client goes on to send is discarded.
         self.reader.discard_buffer();
+        if !self.ending.start_request() {
+            return;
+        }
+        self.ending.close();
         let task = self.executor.spawn(async move { response });
-        let queued = QueuedResponse { task, is_head_request: false, is_last: true };
-        // The queue is closed if an earlier response closes the connection.
+        let queued = QueuedResponse { task, is_head_request: false };
+        // The queue is closed only after the connection has failed.
         self.sender.send(queued).await.ok();
     }
 }
--- a/crates/wire/tests/connection_end.rs
+++ b/crates/wire/tests/connection_end.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use futures_lite::future::block_on;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use pomeloreach_wire::clock::{sleep_ms, within_ms};
 use pomeloreach_wire::h1::server::{ServerLimits, Service, serve};
 use rustix::net::{self, AddressFamily, SocketType};
@@ -16,26 +16,39 @@
 use std::rc::Rc;
 
 const LARGE_BYTES: usize = 128 * 1024;
+/// More than the system buffers for a connection.
+const HUGE_BYTES: usize = 8 * 1024 * 1024;
 /// The receive buffer of a client on a slow path, which the system doubles.
 const WINDOW_BYTES: usize = 8 * 1024;
 const IDLE_TIMEOUT_MS: u64 = 400;
 
-/// Responds after as many milliseconds as the last segment of the path says. The path `/large/`
-/// gets `LARGE_BYTES`.
+/// Responds after as many milliseconds as the last segment of the path says. Paths below `/large/`
+/// get `LARGE_BYTES`, those below `/huge/` get `HUGE_BYTES`, and the response to one below `/closing/`
+/// closes the connection.
 #[derive(Clone, Default)]
 struct Delayed {
     draining: Rc<Cell<bool>>,
+    /// The number of requests that were started.
+    started: Rc<Cell<usize>>,
 }
 
 impl Service for Delayed {
     type ResponseFuture = Pin<Box<dyn Future<Output = Response<Bytes>>>>;
 
     fn respond(&self, request: Request<Bytes>) -> Self::ResponseFuture {
+        self.started.set(self.started.get() + 1);
         let path = request.uri().path().to_string();
         Box::pin(async move {
             sleep_ms(path.rsplit('/').next().and_then(|ms| ms.parse().ok()).unwrap_or(0)).await;
-            let is_large = path.starts_with("/large/");
-            Response::new(if is_large { vec![b'x'; LARGE_BYTES].into() } else { path.into() })
+            let mut response = Response::new(match path.split('/').nth(1) {
+                Some("large") => vec![b'x'; LARGE_BYTES].into(),
+                Some("huge") => vec![b'x'; HUGE_BYTES].into(),
+                _ => path.clone().into(),
+            });
+            if path.starts_with("/closing/") {
+                response.headers_mut().insert("connection", HeaderValue::from_static("close"));
+            }
+            response
         })
     }
 
@@ -114,6 +127,55 @@
     assert_eq!(body.len(), LARGE_BYTES);
 }
 
+/// The number of responses in what a client received.
+fn count_responses(received: &str) -> usize {
+    received.matches("HTTP/1.1 200 ").count()
+}
+
+/// Requests that arrived while the last response was being written ran, and got no response.
+#[test]
+fn requests_behind_last_response() {
+    let service = Delayed::default();
+    service.draining.set(true);
+    let received = with_server(&service, async |mut stream| {
+        stream.write_all(get("/huge/0").as_bytes()).await.unwrap();
+        sleep_ms(50).await;
+        for _ in 0..8 {
+            stream.write_all(get("/b/0").as_bytes()).await.unwrap();
+            sleep_ms(5).await;
+        }
+        read_all(&mut stream).await
+    });
+    assert_eq!(count_responses(&received), service.started.get());
+}
+
+/// Requests behind one that asks for the connection to be closed ran, and got no response.
+#[test]
+fn requests_behind_close() {
+    let service = Delayed::default();
+    let received = with_server(&service, async |mut stream| {
+        let closing = "GET /a/50 HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+        let requests = format!("{closing}{}{}", get("/b/0"), get("/b/0"));
+        stream.write_all(requests.as_bytes()).await.unwrap();
+        read_all(&mut stream).await
+    });
+    assert!(received.contains("/a/50"), "{received}");
+    assert_eq!(count_responses(&received), service.started.get());
+}
+
+/// Requests that had started before a response closed the connection got no response.
+#[test]
+fn requests_behind_closing_response() {
+    let service = Delayed::default();
+    let received = with_server(&service, async |mut stream| {
+        let requests = format!("{}{}{}", get("/closing/50"), get("/b/0"), get("/b/100"));
+        stream.write_all(requests.as_bytes()).await.unwrap();
+        read_all(&mut stream).await
+    });
+    assert_eq!(count_responses(&received), service.started.get());
+    assert!(received.ends_with("/b/100"), "{received}");
+}
+
 /// A client that is still sending a refused body must receive the refusal.
 #[test]
 fn refusal_during_upload() {
