Links: silence is measured between bytes, not over a whole message

What callers saw: with two daemons and a link of 8 Mbit/s, an order whose response has 3.2 MB got 502 after 2.6 s, although its target had run it. All other calls on the link are lost with it.

Cause: the limit on silence was applied to the receipt of a whole message, so that a link on which bytes kept arriving was closed as silent.

Change: the time begins anew with each read that returns bytes.

--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -15,7 +15,7 @@
 use pomeloreach_core::mesh::dissemination::{Distance, Subscriber};
 use pomeloreach_core::mesh::message::LinkMessage;
 use pomeloreach_core::mesh::state::DaemonRecord;
-use pomeloreach_wire::clock::{sleep_ms, within_ms};
+use pomeloreach_wire::clock::sleep_ms;
 use pomeloreach_wire::frame::{self, FrameError};
 use pomeloreach_wire::memory::Memory;
 use std::cell::{Cell, RefCell};
@@ -190,13 +190,16 @@
         Self { stream, distance: Distance::OtherRegion }
     }
 
-    /// Reads the next message and counts it. Waits for it for `timeout_ms` at most.
-    pub async fn read(&mut self, mesh: &Mesh, timeout_ms: u64) -> Result<LinkMessage, LinkError> {
+    /// Reads the next message and counts it. The peer may be silent for `silence_max_ms` at most.
+    pub async fn read(
+        &mut self,
+        mesh: &Mesh,
+        silence_max_ms: u64,
+    ) -> Result<LinkMessage, LinkError> {
         let charge = |bytes| mesh.memory.charge(bytes);
-        let reading =
-            frame::read_charged::<LinkMessage, _, _>(&mut self.stream, MESSAGE_BYTES_MAX, charge);
-        let result = within_ms(timeout_ms, reading).await.ok_or(LinkError::TimedOut)?;
-        let (message, bytes) = result.map_err(LinkError::Frame)?;
+        let (message, bytes): (LinkMessage, usize) =
+            frame::read_charged(&mut self.stream, MESSAGE_BYTES_MAX, silence_max_ms, charge)
+                .await?;
         let bytes = bytes as u64;
         mesh.metrics.link_message_received((&message).into(), self.distance, bytes);
         if !matches!(message, LinkMessage::BodyPart { .. }) {
@@ -209,10 +212,8 @@
 /// Why a link ended.
 #[derive(Debug, thiserror::Error)]
 pub enum LinkError {
-    #[error("no message within the time limit")]
-    TimedOut,
     #[error("{0}")]
-    Frame(FrameError),
+    Frame(#[from] FrameError),
     #[error("unexpected kind of message")]
     UnexpectedMessage,
     /// There is a link to the peer already, or the peer is this daemon itself.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,5 +1,6 @@
 //! Length-prefixed frames on a stream between two daemons.
 
+use crate::clock::within_ms;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -23,6 +24,8 @@
     Undecodable(postcard::Error),
     #[error("the stream failed: {0}")]
     Io(#[from] io::Error),
+    #[error("nothing was received for {0} ms")]
+    Silent(u64),
 }
 
 /// Encodes a message as a frame, including the length prefix.
@@ -46,36 +49,55 @@
     reader: &mut R,
     bytes_max: usize,
 ) -> Result<T, FrameError> {
-    Ok(read_sized(reader, bytes_max).await?.0)
-}
-
-/// The same as [`read`], and also returns the size of the frame in bytes.
-pub async fn read_sized<T: DeserializeOwned, R: AsyncRead + Unpin>(
-    reader: &mut R,
-    bytes_max: usize,
-) -> Result<(T, usize), FrameError> {
-    read_charged(reader, bytes_max, |_| ()).await
+    let mut prefix = [0; LENGTH_PREFIX_BYTES];
+    reader.read_exact(&mut prefix).await?;
+    let payload = read_bytes(reader, payload_bytes(prefix, bytes_max)?).await?;
+    postcard::from_bytes(&payload).map_err(FrameError::Undecodable)
 }
 
-/// The same as [`read_sized`]. Calls `charge` with the size of the payload before a buffer is
-/// allocated for it, and drops the result after the message is decoded.
+/// Reads one message whose sender may be silent for `silence_max_ms` at most, before its first byte and
+/// between others: a limit on its whole duration would end a stream that is only slow. Calls `charge`
+/// with the size of the payload before a buffer is allocated for it, and drops the result after the
+/// message is decoded. Also returns the size of the frame in bytes.
 pub async fn read_charged<T: DeserializeOwned, R: AsyncRead + Unpin, C>(
     reader: &mut R,
     bytes_max: usize,
+    silence_max_ms: u64,
     charge: impl FnOnce(usize) -> C,
 ) -> Result<(T, usize), FrameError> {
     let mut prefix = [0; LENGTH_PREFIX_BYTES];
-    reader.read_exact(&mut prefix).await?;
-    let bytes = u32::from_le_bytes(prefix) as usize;
-    if bytes > bytes_max {
-        return Err(FrameError::TooLong { bytes, bytes_max });
-    }
+    read_without_silence(reader, &mut prefix, silence_max_ms).await?;
+    let bytes = payload_bytes(prefix, bytes_max)?;
     let _charge = charge(bytes);
-    let payload = read_bytes(reader, bytes).await?;
+    let mut payload = vec![0; bytes];
+    read_without_silence(reader, &mut payload, silence_max_ms).await?;
     let message = postcard::from_bytes(&payload).map_err(FrameError::Undecodable)?;
     Ok((message, LENGTH_PREFIX_BYTES + bytes))
 }
 
+/// The size of the payload that a length prefix announces.
+fn payload_bytes(prefix: [u8; LENGTH_PREFIX_BYTES], bytes_max: usize) -> Result<usize, FrameError> {
+    let bytes = u32::from_le_bytes(prefix) as usize;
+    if bytes > bytes_max { Err(FrameError::TooLong { bytes, bytes_max }) } else { Ok(bytes) }
+}
+
+/// Fills a buffer. Fails if the stream ends before, or sends nothing for `silence_max_ms`.
+async fn read_without_silence<R: AsyncRead + Unpin>(
+    reader: &mut R,
+    mut buffer: &mut [u8],
+    silence_max_ms: u64,
+) -> Result<(), FrameError> {
+    while !buffer.is_empty() {
+        let reading = within_ms(silence_max_ms, reader.read(buffer)).await;
+        let bytes = reading.ok_or(FrameError::Silent(silence_max_ms))??;
+        if bytes == 0 {
+            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+        }
+        buffer = &mut buffer[bytes..];
+    }
+    Ok(())
+}
+
 /// Reads exactly `count` bytes. Fails if the stream ends before.
 pub async fn read_bytes<R: AsyncRead + Unpin>(
     reader: &mut R,
