Daemons without mesh: an endless head of a response is cut off

Daemons with the section mesh are not affected.

Cause: async-h1 checks the size of a head after each whole line.

Change: responses are read with the client of wire::h1, which checks before each read. Parsing a head is a function apart from the future that reads it: with the array of headers in it, the futures around it overflowed the stack of a worker thread in a debug build.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -67,6 +67,15 @@
         self.child.id()
     }
 
+    /// The most memory that the process has used so far, in kilobytes.
+    pub fn memory_peak_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid()))
+            .expect("the process's status can be read");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        kilobytes.and_then(|text| text.parse().ok()).expect("the status has the peak")
+    }
+
     /// Waits up to `STOP_TIMEOUT_MS` for the process to exit, and returns whether it exited with status
     /// 0.
     pub fn wait(&mut self) -> bool {
@@ -184,6 +193,33 @@
         Process { name: name.into(), child, command, log_path }
     }
 
+    /// Starts a daemon for callers and one with a target of the service `yard`, and waits until callers
+    /// of both reach it. A route to it has the host `yard`.
+    pub fn start_with_yard(slots: u16) -> Self {
+        let mut fleet = Self::start();
+        fleet.add_daemon(DaemonIdentity::new("front-1", "kigali", "kigali-a"));
+        fleet.add_daemon(DaemonIdentity::new("yard-1", "kigali", "kigali-b"));
+        fleet.add_target(1, "yard", slots);
+        fleet.wait_ready(15_000);
+        let changes = serde_json::from_value(serde_json::json!([
+            {"action": "set-pool", "name": "yard", "expected_in": 0,
+             "pool": {"service": "yard", "slow_start_ms": 0}},
+            {"action": "set-route", "name": "yard", "expected_in": 0,
+             "route": {"host": "yard", "pool": "yard", "deadline_ms": 3000}},
+        ]));
+        let answer = fleet.edit(0, "tables", changes.expect("the changes are valid"));
+        let answer = answer.expect("the edit gets a response");
+        assert_eq!(answer.number, 1001, "{answer:?}");
+        fleet.wait_version(1, 5_000);
+        wait_for("the target is known", 15_000, || {
+            (0..2).all(|daemon| {
+                let response = fleet.request(daemon, Method::Get, "yard", "/", "warm", "");
+                response.is_ok_and(|response| response.status == 200)
+            })
+        });
+        fleet
+    }
+
     /// Replaces a process by a new one with the same command and log file.
     pub fn respawn(&self, process: &mut Process) {
         *process = self.spawn(&process.name.clone(), process.command.clone());
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -29,6 +29,9 @@
 /// The largest body of a request, or of the daemon's response to an announcement, in bytes.
 const BODY_BYTES_MAX: usize = 4 * 1024 * 1024;
 
+/// How often the text of `repeated_answer` is in one write.
+const REPEATED_AT_ONCE: usize = 1_024;
+
 /// How the target handles requests; `POST /behaviour` replaces it while the target runs.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -45,6 +48,8 @@
     pub lie_ready: bool,
     /// Sent instead of each response, after which the connection is closed.
     pub raw_answer: Option<String>,
+    /// Sent behind `raw_answer` again and again until the caller closes the connection.
+    pub repeated_answer: Option<String>,
     /// How much longer the bodies of responses are, in bytes.
     pub fill_bytes: usize,
 }
@@ -58,6 +63,7 @@
             drop_answers: false,
             lie_ready: false,
             raw_answer: None,
+            repeated_answer: None,
             fill_bytes: 0,
         }
     }
@@ -222,7 +228,13 @@
             connection.close().await.ok();
         }
         if let Some(answer) = &behaviour.raw_answer {
-            connection.write_all(answer.as_bytes()).await.ok();
+            let mut sent = connection.write_all(answer.as_bytes()).await;
+            if let Some(repeated) = &behaviour.repeated_answer {
+                let repeated = repeated.repeat(REPEATED_AT_ONCE);
+                while sent.is_ok() {
+                    sent = connection.write_all(repeated.as_bytes()).await;
+                }
+            }
             connection.close().await.ok();
         }
         if behaviour.lie_ready {
--- a/crates/standins/tests/invalid_statuses.rs
+++ b/crates/standins/tests/invalid_statuses.rs
@@ -1,36 +1,11 @@
 //! Responses of targets whose status HTTP does not have, at daemons without the section `mesh`.
 
 use http_types::Method;
-use pomeloreach_standins::fleet::{DaemonIdentity, Fleet, wait_for};
+use pomeloreach_standins::fleet::Fleet;
 use pomeloreach_standins::target::Behaviour;
 
 const SIGNATURE: &str = "pomeloreach-response-signature";
 
-/// Starts a daemon without a target, and one with a target.
-fn start_fleet() -> Fleet {
-    let mut fleet = Fleet::start();
-    fleet.add_daemon(DaemonIdentity::new("front-1", "kigali", "kigali-a"));
-    fleet.add_daemon(DaemonIdentity::new("yard-1", "kigali", "kigali-b"));
-    fleet.add_target(1, "yard", 4);
-    fleet.wait_ready(15_000);
-    let changes = serde_json::from_value(serde_json::json!([
-        {"action": "set-pool", "name": "yard", "expected_in": 0,
-         "pool": {"service": "yard", "slow_start_ms": 0}},
-        {"action": "set-route", "name": "yard", "expected_in": 0,
-         "route": {"host": "yard", "pool": "yard", "deadline_ms": 3000}},
-    ]));
-    let answer = fleet.edit(0, "tables", changes.unwrap()).unwrap();
-    assert_eq!(answer.number, 1001, "{answer:?}");
-    fleet.wait_version(1, 5_000);
-    wait_for("the target is known", 15_000, || {
-        (0..2).all(|daemon| {
-            let response = fleet.request(daemon, Method::Get, "yard", "/", "warm", "");
-            response.is_ok_and(|response| response.status == 200)
-        })
-    });
-    fleet
-}
-
 /// The response to a request at the target's daemon and at another one is 502, and says that the
 /// request may have run.
 #[yare::parameterized(
@@ -44,7 +19,7 @@
     four_digits = { "2000 OK", true },
 )]
 fn invalid_status_reaches_no_caller(status: &str, is_signed: bool) {
-    let fleet = start_fleet();
+    let fleet = Fleet::start_with_yard(4);
     let signature = if is_signed { "pomeloreach-response-signature: s\r\n" } else { "" };
     let raw_answer = format!("HTTP/1.1 {status}\r\n{signature}content-length: 2\r\n\r\nno");
     fleet.set_behaviour(0, &Behaviour { raw_answer: Some(raw_answer), ..Behaviour::default() });
--- a/crates/standins/tests/planned_stop.rs
+++ b/crates/standins/tests/planned_stop.rs
@@ -1,7 +1,7 @@
 //! Planned stops of daemons of our own deployment while large responses are sent.
 
 use http_types::Method;
-use pomeloreach_standins::fleet::{DaemonIdentity, Fleet, wait_for};
+use pomeloreach_standins::fleet::Fleet;
 use pomeloreach_standins::target::Behaviour;
 use rustix::process::Signal;
 use std::io::{Read, Write};
@@ -13,22 +13,7 @@
 
 /// Starts a daemon for callers and one with a target whose responses are large.
 fn start_fleet(service_ms: u64) -> Fleet {
-    let mut fleet = Fleet::start();
-    fleet.add_daemon(DaemonIdentity::new("front-1", "kigali", "kigali-a"));
-    fleet.add_daemon(DaemonIdentity::new("yard-1", "kigali", "kigali-b"));
-    fleet.add_target(1, "yard", 8);
-    fleet.wait_ready(15_000);
-    let changes = serde_json::from_value(serde_json::json!([
-        {"action": "set-pool", "name": "yard", "expected_in": 0,
-         "pool": {"service": "yard", "slow_start_ms": 0}},
-        {"action": "set-route", "name": "yard", "expected_in": 0,
-         "route": {"host": "yard", "pool": "yard", "deadline_ms": 3000}},
-    ]));
-    assert_eq!(fleet.edit(0, "tables", changes.unwrap()).unwrap().number, 1001);
-    fleet.wait_version(1, 5_000);
-    wait_for("the target is known", 15_000, || {
-        fleet.request(0, Method::Get, "yard", "/", "warm", "").is_ok_and(|ok| ok.status == 200)
-    });
+    let fleet = Fleet::start_with_yard(8);
     fleet.set_behaviour(
         0,
         &Behaviour { service_ms, fill_bytes: FILL_BYTES, ..Behaviour::default() },
--- a/crates/wire/src/h1/client.rs
+++ b/crates/wire/src/h1/client.rs
@@ -76,8 +76,13 @@
             .ok_or(ExchangeError::ConnectTimedOut(timeout_ms))?
             .map_err(ExchangeError::Connect)?;
         stream.set_nodelay(true).map_err(ExchangeError::Connect)?;
+        Ok(Self::new(stream))
+    }
+
+    /// Uses a connection that is open already.
+    pub fn new(stream: TcpStream) -> Self {
         let reader = Reader::new(stream.clone());
-        Ok(Self { stream, reader, must_close: false, body_ms: 0, memory: Memory::unlimited() })
+        Self { stream, reader, must_close: false, body_ms: 0, memory: Memory::unlimited() }
     }
 
     /// Charges the bodies of later responses to `memory`.
--- a/crates/wire/src/h1/reader.rs
+++ b/crates/wire/src/h1/reader.rs
@@ -189,15 +189,7 @@
         bytes_max: usize,
     ) -> Result<Response<()>, MessageError> {
         loop {
-            let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
-            let mut parsed = httparse::Response::new(&mut headers);
-            let status = parsed.parse(&self.buffer).map_err(malformed)?;
-            if let httparse::Status::Complete(length) = status {
-                let mut response = Response::new(());
-                *response.status_mut() = http_status(parsed.code)?;
-                *response.version_mut() = http_version(parsed.version);
-                *response.headers_mut() = header_map(parsed.headers)?;
-                self.buffer.advance(length);
+            if let Some(response) = self.parse_response_head()? {
                 return Ok(response);
             }
             if self.buffer.len() > bytes_max {
@@ -214,6 +206,23 @@
         }
     }
 
+    /// Parses the head of a response. Returns `None` if the buffer does not hold all of it. This is no
+    /// part of [`Self::read_response_head`], whose future would contain the array of headers.
+    fn parse_response_head(&mut self) -> Result<Option<Response<()>>, MessageError> {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+        let mut parsed = httparse::Response::new(&mut headers);
+        let httparse::Status::Complete(length) = parsed.parse(&self.buffer).map_err(malformed)?
+        else {
+            return Ok(None);
+        };
+        let mut response = Response::new(());
+        *response.status_mut() = http_status(parsed.code)?;
+        *response.version_mut() = http_version(parsed.version);
+        *response.headers_mut() = header_map(parsed.headers)?;
+        self.buffer.advance(length);
+        Ok(Some(response))
+    }
+
     /// Reads a complete body, and charges it to `memory`. The reader keeps no memory of it. With a
     /// `hold`, the body belongs to a request that is refused if the budget has no room for it.
     pub async fn read_body(
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -1,14 +1,17 @@
-//! HTTP through `async-h1`, with checks of body lengths that the library lacks.
-//!
-//! `async-h1` delivers a truncated body as if it were complete. This module therefore reads every
-//! body to its end and compares its size with the declared length. The library also treats a
-//! response without any length as empty; this module reports such a response as truncated.
+//! HTTP for the ports that are served through `async-h1`, with a check of body lengths that the
+//! library lacks: it delivers a truncated body as if it were complete. This module therefore reads
+//! every body to its end and compares its size with the declared length.
 
 use crate::clock::within_ms;
 use crate::close::close_after_last_message;
+use crate::h1::MessageError;
+use crate::h1::client::{Connection, ExchangeError};
 use async_net::TcpStream;
+use bytes::Bytes;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use http_types::headers::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderName, HeaderValue};
+use http_types::headers::{CONTENT_LENGTH, HOST};
+use http_types::url::Position;
 use http_types::{Body, Method, Request, Response, StatusCode, Url};
 use pomeloreach_core::api::ErrorResponse;
 use pomeloreach_core::code::ResultCode;
@@ -116,37 +119,47 @@
 }
 
 /// Sends a request and reads the complete response. The connection is used for this request only.
+/// This goes through [`crate::h1`]: `async-h1` keeps a line of a response's head in memory however long
+/// it is.
 pub async fn exchange(
     stream: TcpStream,
     request: Request,
     bytes_max: usize,
 ) -> Result<FullResponse, HttpError> {
-    let has_body = request.method() != Method::Head;
-    let result = async_h1::connect(stream, request).await;
-    let mut response = result.map_err(|error| HttpError::NoResponse(error.to_string()))?;
-    let status = u16::from(response.status());
-    if status < 200 {
-        // `async-h1` takes it for the final response.
-        return Err(HttpError::NoResponse(format!("informational response {status}")));
+    let request = h1_request(request).await?;
+    let exchanged = Connection::new(stream).exchange(&request, bytes_max, |_| false).await;
+    let response = exchanged.map_err(|error| match error {
+        ExchangeError::NoResponse(MessageError::Truncated) => BodyError::Truncated.into(),
+        ExchangeError::NoResponse(MessageError::BodyTooLarge(_)) => BodyError::TooLarge.into(),
+        error => HttpError::NoResponse(error.to_string()),
+    })?;
+    let (head, body) = response.into_parts();
+    let header = |(name, value): (&HeaderName, &HeaderValue)| {
+        let value = std::str::from_utf8(value.as_bytes());
+        let value = value.map_err(|error| HttpError::NoResponse(format!("{name}: {error}")))?;
+        Ok((name.as_str().to_string(), value.to_string()))
+    };
+    let headers = head.headers.iter().map(header).collect::<Result<_, HttpError>>()?;
+    Ok(FullResponse { status: head.status.as_u16(), headers, body: body.into() })
+}
+
+/// Converts a request. Without a host it gets that of its URL.
+async fn h1_request(mut request: Request) -> Result<http::Request<Bytes>, HttpError> {
+    let invalid = |error: &dyn std::fmt::Display| HttpError::Connect(error.to_string());
+    let url = request.url();
+    let mut builder = http::Request::builder()
+        .method(request.method().as_ref())
+        .uri(&url[Position::BeforePath..Position::AfterQuery]);
+    if request.header(HOST).is_none() {
+        builder = builder.header("host", &url[Position::BeforeHost..Position::AfterPort]);
     }
-    let declared = response.header(CONTENT_LENGTH).map(|value| value.last().as_str().to_string());
-    let is_chunked = response.header(TRANSFER_ENCODING).is_some();
-    let has_body = has_body && status != 204 && status != 304;
-    if has_body && declared.is_none() && !is_chunked {
-        return Err(BodyError::Truncated.into());
+    for (name, values) in request.iter() {
+        for value in values {
+            builder = builder.header(name.as_str(), value.as_str());
+        }
     }
-    let body = if has_body {
-        read_body(response.take_body(), declared_length(declared.as_deref()), bytes_max).await?
-    } else {
-        Vec::new()
-    };
-    let headers = response
-        .iter()
-        .flat_map(|(name, values)| {
-            values.iter().map(|value| (name.as_str().to_string(), value.as_str().to_string()))
-        })
-        .collect();
-    Ok(FullResponse { status, headers, body })
+    let body = request.take_body().into_bytes().await.map_err(|error| invalid(&error))?;
+    builder.body(Bytes::from(body)).map_err(|error| invalid(&error))
 }
 
 /// Builds a request for a path at an address. It asks the server to close the connection.
