Planned stop: late requests end, or are refused, before the exit

What callers saw: orders whose bodies ended 4.8 and 5.2 s after SIGTERM were passed on and cut off without a response at 5.6 s, when the daemon exits. Orders that ran or waited in the queue at that time (12 of 12) got none.

Cause: the end of the grace period was known to the loop that waits for the exit, but neither to the admission of requests, nor to the deadline that targets receive, nor to requests in progress.

Change: StopSchedule decides the times of a stop. A request is passed on only if twice its typical service time is left, targets and queued requests get a deadline before the exit, and what still has no response then gets 503 if it has not run and 504 if it may have.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -385,6 +385,13 @@
         removed.iter().map(|request| request.arrival.ticket).collect()
     }
 
+    /// Brings the deadlines of queued requests forward to `until_ms` where they are later.
+    pub fn limit_deadlines(&mut self, until_ms: u64) {
+        for QueuedRequest { arrival, .. } in &mut self.queue {
+            arrival.deadline_ms = arrival.deadline_ms.min(until_ms);
+        }
+    }
+
     /// Removes queued requests that are not expected to be answered before their deadline, and
     /// returns their tickets. The caller can refuse them at once, while there is time left to try
     /// another target.
--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -22,6 +22,7 @@
 pub mod retry_after;
 pub mod round_robin;
 pub mod state;
+pub mod stop_schedule;
 pub mod topology;
 pub mod transit;
 pub mod typical_times;
--- a/crates/daemon/src/mesh/callers.rs
+++ b/crates/daemon/src/mesh/callers.rs
@@ -138,7 +138,7 @@
     }
 
     fn is_draining(&self) -> bool {
-        self.0.is_stopping.get()
+        self.0.is_stopping()
     }
 
     fn stopped(&self) -> impl Future<Output = ()> {
--- a/crates/daemon/src/mesh/forward.rs
+++ b/crates/daemon/src/mesh/forward.rs
@@ -35,11 +35,13 @@
 /// may have run.
 pub async fn forward(mesh: &Rc<Mesh>, inbound: &InboundRequest, deadline_ms: u64) -> ForwardResult {
     let mut connection = connect(mesh).await?;
-    let left_ms = deadline_ms.saturating_sub(mesh.now_ms());
-    if left_ms == 0 {
+    let now_ms = mesh.now_ms();
+    let left_ms = deadline_ms.saturating_sub(now_ms);
+    let target_left_ms = mesh.target_deadline_ms(deadline_ms).saturating_sub(now_ms);
+    if target_left_ms == 0 {
         return Err((ResultCode::DeadlineBeforeRun, false));
     }
-    let request = target_request(inbound, left_ms).ok_or((ResultCode::RequestCut, false))?;
+    let request = target_request(inbound, target_left_ms).ok_or((ResultCode::RequestCut, false))?;
     let request_id = request_id(&inbound.request);
     let is_mismatched =
         |headers: &HeaderMap| headers::target_headers(headers, &request_id).is_mismatched;
--- a/crates/daemon/src/mesh/inbound.rs
+++ b/crates/daemon/src/mesh/inbound.rs
@@ -118,6 +118,16 @@
         }
     }
 
+    /// The average service time of the target, in milliseconds; 0 if none is known.
+    fn service_ms(&self) -> f64 {
+        self.state.borrow().admission.service_ms()
+    }
+
+    /// Brings the deadlines of queued requests forward to `until_ms` where they are later.
+    pub fn limit_deadlines(&self, until_ms: u64) {
+        self.state.borrow_mut().admission.limit_deadlines(until_ms);
+    }
+
     /// Applies the target's last heartbeat and its current state.
     pub fn update_target(&self, mesh: &Mesh) {
         let target = mesh.local_target.borrow();
@@ -307,7 +317,12 @@
     if !is_current_target {
         return refuse(mesh, &inbound, ResultCode::WrongInstance);
     }
-    let mut slot = match acquire_slot(mesh, &inbound, now_ms, deadline_ms).await {
+    let typical_ms = inbound.terms.service_ms.map_or_else(|| mesh.inbound.service_ms(), f64::from);
+    if !mesh.may_pass_on(typical_ms) {
+        return refuse(mesh, &inbound, ResultCode::TargetDraining);
+    }
+    let target_deadline_ms = mesh.target_deadline_ms(deadline_ms);
+    let mut slot = match acquire_slot(mesh, &inbound, now_ms, target_deadline_ms).await {
         Ok(slot) => slot,
         Err(code) => return refuse(mesh, &inbound, code),
     };
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -44,6 +44,7 @@
 use pomeloreach_core::mesh::state::{
     ConfigState, DaemonRecord, DaemonState, TargetLoad, TargetSummary,
 };
+use pomeloreach_core::mesh::stop_schedule::StopSchedule;
 use pomeloreach_core::mesh::typical_times::TypicalTimes;
 use pomeloreach_core::retry_budget::RetryBudget;
 use pomeloreach_wire::clock::{Clock, sleep_ms, within_ms};
@@ -56,16 +57,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// How long a stopping daemon keeps serving callers, in milliseconds. The platform routes callers
-/// elsewhere after two failed readiness checks, one second apart. A request that is read later might
-/// not finish within the grace period.
-const UNREADY_SERVING_MS: u64 = 2_300;
-/// How long calls of peers may still arrive after this daemon has reported that it is leaving, in
-/// milliseconds.
-const LAST_CALLS_MS: u64 = 250;
-/// A stopping daemon exits this long before the end of the grace period, in milliseconds, even if
-/// requests are in flight.
-const GRACE_MARGIN_MS: u64 = 400;
 /// How often a stopping daemon checks whether its requests have ended, in milliseconds.
 const DRAIN_POLL_MS: u64 = 20;
 /// How long a stopping daemon waits for its peers to close their links, in milliseconds: the last
@@ -104,13 +95,15 @@
     /// The typical times of each route, by the route's name.
     pub typical_times: RefCell<BTreeMap<Arc<str>, TypicalTimes>>,
     rng: RefCell<ChaCha8Rng>,
-    /// Whether the daemon is stopping, and reports that it is not ready.
-    pub is_stopping: Cell<bool>,
+    /// Set when the daemon is stopping, and reports that it is not ready.
+    stop_schedule: Cell<Option<StopSchedule>>,
     /// Whether this daemon reports to peers that it is leaving, after which they send no further
-    /// calls. Set after `is_stopping`.
+    /// calls. Set after `stop_schedule`.
     pub is_leaving: Cell<bool>,
     /// Closed when no further requests of callers are read.
     stop: (Sender<()>, Receiver<()>),
+    /// Closed when all requests of callers must get their responses.
+    last_responses: (Sender<()>, Receiver<()>),
     /// Requests of callers that have no response yet.
     pub in_flight: Cell<u32>,
     pub caller_connections: caller_connections::CallerConnections,
@@ -135,6 +128,34 @@
         }
     }
 
+    /// Completes when the requests of callers that have no response yet must get one, because the
+    /// daemon is about to exit.
+    pub fn last_responses_due(&self) -> impl Future<Output = ()> + use<> {
+        let last_responses = self.last_responses.1.clone();
+        async move {
+            last_responses.recv().await.ok();
+        }
+    }
+
+    pub fn is_stopping(&self) -> bool {
+        self.stop_schedule.get().is_some()
+    }
+
+    /// The deadline of a request as its target must know it: a stopping daemon waits for no longer
+    /// than it runs itself.
+    pub fn target_deadline_ms(&self, deadline_ms: u64) -> u64 {
+        self.stop_schedule
+            .get()
+            .map_or(deadline_ms, |schedule| deadline_ms.min(schedule.run_until_ms()))
+    }
+
+    /// Whether a request with this typical service time, 0 if none is known, may be passed on to a
+    /// target: during a stop, only if it is expected to end in time.
+    pub fn may_pass_on(&self, service_ms: f64) -> bool {
+        let schedule = self.stop_schedule.get();
+        schedule.is_none_or(|schedule| schedule.may_pass_on(self.now_ms(), service_ms))
+    }
+
     /// A random number from 0 to 1.
     pub fn random(&self) -> f64 {
         f64::from(self.rng.borrow_mut().next_u32()) / f64::from(u32::MAX)
@@ -197,12 +218,12 @@
     /// Whether this daemon's VM is being removed, as far as is known: the daemon is stopping and its
     /// target has left.
     pub fn is_being_removed(&self) -> bool {
-        self.is_stopping.get() && self.target_state() == TargetState::Draining
+        self.is_stopping() && self.target_state() == TargetState::Draining
     }
 
     /// Whether the platform may route callers to this daemon.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping.get() && self.config.routes().is_some()
+        !self.is_stopping() && self.config.routes().is_some()
     }
 }
 
@@ -265,9 +286,10 @@
         retry_budgets: RefCell::new(BTreeMap::new()),
         typical_times: RefCell::new(BTreeMap::new()),
         rng: RefCell::new(rng),
-        is_stopping: Cell::new(false),
+        stop_schedule: Cell::new(None),
         is_leaving: Cell::new(false),
         stop: async_channel::bounded(1),
+        last_responses: async_channel::bounded(1),
         in_flight: Cell::new(0),
         caller_connections: CallerConnections::new(&mesh_settings, &memory, clock),
         memory,
@@ -362,40 +384,41 @@
     }
 }
 
-/// Keeps serving callers for [`UNREADY_SERVING_MS`], during which peers can still use the local
-/// target. Then reads no further requests, and waits until callers and peers have received the
-/// responses to those in flight and have closed their connections. A draining target is taken
-/// to mean that the VM is being removed, so the record of this daemon is removed too.
+/// Keeps serving callers for a while, during which peers can still use the local target. Then reads no
+/// further requests, and waits until callers and peers have received the responses to those in flight
+/// and have closed their connections; see [`StopSchedule`]. A draining target is taken to mean that the
+/// VM is being removed, so the record of this daemon is removed too.
 async fn drain(mesh: &Rc<Mesh>) {
-    mesh.is_stopping.set(true);
-    log_event(Event::DaemonDraining, &format!("in_flight={}", mesh.in_flight.get()));
-    let started_ms = mesh.now_ms();
     let grace_ms = mesh.mesh_settings.borrow().grace_ms;
-    let end_ms = started_ms + grace_ms.saturating_sub(GRACE_MARGIN_MS);
+    let schedule = StopSchedule::new(mesh.now_ms(), grace_ms);
+    mesh.stop_schedule.set(Some(schedule));
+    mesh.inbound.limit_deadlines(schedule.run_until_ms());
+    log_event(Event::DaemonDraining, &format!("in_flight={}", mesh.in_flight.get()));
     if mesh.is_being_removed() {
         discovery::withdraw(mesh).await;
     }
     loop {
         let now_ms = mesh.now_ms();
-        if now_ms >= started_ms + UNREADY_SERVING_MS && !mesh.is_leaving.replace(true) {
+        if !schedule.is_serving(now_ms) && !mesh.is_leaving.replace(true) {
             mesh.stop.0.close();
             mesh.links.report_now();
         }
+        if schedule.is_last_response_due(now_ms) {
+            mesh.last_responses.0.close();
+        }
         let is_idle = mesh.caller_connections.count() == 0
             && mesh.inbound.in_flight() == 0
             && mesh.links.are_results_written();
-        if now_ms >= end_ms
-            || (is_idle && now_ms >= started_ms + UNREADY_SERVING_MS + LAST_CALLS_MS)
-        {
+        if now_ms >= schedule.exit_ms() || (is_idle && schedule.may_exit(now_ms)) {
             break;
         }
         sleep_ms(DRAIN_POLL_MS).await;
     }
-    let left_ms = end_ms.saturating_sub(mesh.now_ms()).min(LINKS_CLOSE_MS_MAX);
+    let left_ms = schedule.exit_ms().saturating_sub(mesh.now_ms()).min(LINKS_CLOSE_MS_MAX);
     within_ms(left_ms, mesh.links.close_incoming()).await;
     let (in_flight, at_target) = (mesh.in_flight.get(), mesh.inbound.in_flight());
     let connections = mesh.caller_connections.count();
-    let took_ms = mesh.now_ms() - started_ms;
+    let took_ms = mesh.now_ms() - schedule.started_ms();
     log_event(
         Event::DaemonStopped,
         &format!(
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -10,6 +10,7 @@
 use async_channel::Sender;
 use async_executor::Task;
 use bytes::Bytes;
+use futures_lite::future::or;
 use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderMap, Response};
@@ -261,7 +262,15 @@
                 Err(code) if self.attempts.in_flight() == 0 => return self.fail(code),
                 Err(_) => self.attempts.left_ms(now_ms),
             };
-            let Some(Ok(response)) = within_ms(wait_ms, results.recv()).await else {
+            let receiving = async { Some(within_ms(wait_ms, results.recv()).await) };
+            let exiting = async {
+                self.mesh.last_responses_due().await;
+                None
+            };
+            let Some(received) = or(receiving, exiting).await else {
+                return self.fail(ResultCode::TargetDraining);
+            };
+            let Some(Ok(response)) = received else {
                 self.note_stalled_attempts(now_ms);
                 continue;
             };
@@ -280,6 +289,9 @@
         if !self.attempts.may_start() {
             return Err(ResultCode::DeadlineAfterRun);
         }
+        if !self.mesh.may_pass_on(self.typical_times().service_ms.unwrap_or(0.0)) {
+            return Err(ResultCode::TargetDraining);
+        }
         let (peer, target_id, wait_max_ms) = match self.choose_target(now_ms) {
             Placement::Local { wait_max_ms } => (None, self.local_target_id(), wait_max_ms),
             Placement::Peer { name, target_id, wait_max_ms } => {
@@ -357,7 +369,7 @@
     ) -> InboundRequest {
         let mut request = self.request.clone();
         request.instance = target_id;
-        request.left_ms = self.attempts.left_ms(now_ms);
+        request.left_ms = self.target_left_ms(now_ms);
         let terms = AdmissionTerms {
             goal_left_ms: self.goal_ms.saturating_sub(now_ms),
             rank: self.rank,
@@ -369,6 +381,12 @@
         InboundRequest { request, terms, body: self.body.clone() }
     }
 
+    /// The time that a target has for the request, in milliseconds.
+    fn target_left_ms(&self, now_ms: u64) -> u64 {
+        let deadline_ms = self.attempts.policy().deadline_ms;
+        self.mesh.target_deadline_ms(deadline_ms).saturating_sub(now_ms)
+    }
+
     fn local_target_id(&self) -> Arc<str> {
         let target = self.mesh.local_target.borrow();
         target.last_heartbeat().map(|last| last.id.clone()).unwrap_or_default()
@@ -381,7 +399,7 @@
             is_idempotent: self.route.route.idempotent,
             rank: self.rank,
             goal_left_ms: self.goal_ms.saturating_sub(now_ms),
-            left_ms: self.attempts.left_ms(now_ms),
+            left_ms: self.target_left_ms(now_ms),
             service_ms: self.typical_times().service_ms,
             body_bytes: self.body.len() as u64,
             random: self.mesh.random(),
