HTTP client: a reset during the upload does not end a response

What callers saw: a target responded to an upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written. The caller got that part as a complete response (MIXED).

Cause: the system reports a reset once, to the call that comes first. When that was the write of the upload, the next read saw the end of the stream, which ends a response without a length.

Change: after a failed write, a response without a length is cut.

--- a/crates/wire/src/h1/client.rs
+++ b/crates/wire/src/h1/client.rs
@@ -138,23 +138,32 @@
     ) -> Result<Response<Bytes>, ExchangeError> {
         self.must_close = true;
         let message = encode(request);
-        let mut is_written = false;
+        // `None` until the request was written or writing it has failed.
+        let mut is_written = None;
         let mut writer = self.stream.clone();
         let writing = async {
             // The server may have sent a response even if writing fails.
             let [head, body] = message.parts();
-            is_written =
+            let has_written =
                 writer.write_all(head).await.is_ok() && writer.write_all(body).await.is_ok();
+            is_written = Some(has_written);
             pending().await
         };
         let reader = &mut self.reader;
         let limits = ResponseLimits { timeouts, body_bytes_max, memory: &self.memory };
         let reading = read_response(reader, limits, request.method(), is_mismatched);
-        let (response, is_keep_alive, body_ms) = or(reading, writing).await?;
+        let ReadResponse { response, framing, is_keep_alive, body_ms } =
+            or(reading, writing).await?;
+        // The system reports a reset once: if writing has received it, the connection looks as if
+        // the server had ended it.
+        if framing == Framing::UntilClose && is_written == Some(false) {
+            return Err(MessageError::Truncated.into());
+        }
         self.body_ms = body_ms;
         // A server that responded before the request was written completely would read the next
         // request as the rest of this one.
-        self.must_close = !is_keep_alive || !is_written || self.reader.has_buffered_bytes();
+        self.must_close =
+            !is_keep_alive || is_written != Some(true) || self.reader.has_buffered_bytes();
         Ok(response)
     }
 }
@@ -167,14 +176,23 @@
     memory: &'a Arc<Memory>,
 }
 
-/// Reads the response to a request with `method`, whether the connection stays open after it, and how
-/// long its body took, in milliseconds.
+/// A response that was read to its end.
+struct ReadResponse {
+    response: Response<Bytes>,
+    framing: Framing,
+    /// Whether the connection stays open after the response.
+    is_keep_alive: bool,
+    /// How long the body took to arrive, in milliseconds.
+    body_ms: u64,
+}
+
+/// Reads the response to a request with `method`.
 async fn read_response(
     reader: &mut Reader,
     limits: ResponseLimits<'_>,
     method: &Method,
     is_mismatched: impl Fn(&HeaderMap) -> bool,
-) -> Result<(Response<Bytes>, bool, u64), ExchangeError> {
+) -> Result<ReadResponse, ExchangeError> {
     let ResponseLimits { timeouts, body_bytes_max, memory } = limits;
     for _ in 0..=SKIPPED_MAX {
         reader.set_silence_max_ms(None);
@@ -208,7 +226,8 @@
         let is_keep_alive = framing != Framing::UntilClose
             && head.version() == Version::HTTP_11
             && !connection_lists(head.headers(), "close");
-        return Ok((head.map(|()| body), is_keep_alive, body_clock.now_ms()));
+        let (response, body_ms) = (head.map(|()| body), body_clock.now_ms());
+        return Ok(ReadResponse { response, framing, is_keep_alive, body_ms });
     }
     Err(malformed("too many informational responses and responses to other requests").into())
 }
