Connections: the client has the idle time to receive the last response

What callers saw: two seconds after a stopping daemon had written the last response of a connection, it closed the connection although the client was still receiving and sent more.

Cause: the time for the client to close the connection began when the last response was handed to the system, and was meant for round trips only.

Change: after a last response, the connection stays open for reading until the client closes it, for the idle time at the most, or until the process exits. Connections that end without one have been idle, and keep the 2 s.

--- a/crates/wire/src/h1/responses.rs
+++ b/crates/wire/src/h1/responses.rs
@@ -47,7 +47,10 @@
 /// Why no more responses are sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendingEnd {
-    /// The last response was sent, or the connection failed.
+    /// The last response was handed over to the system, which may send it for as long as the client
+    /// takes.
+    LastResponse,
+    /// There are no more responses, or the connection failed.
     Finished,
     /// The client has read nothing for the idle time.
     Unread,
@@ -78,7 +81,7 @@
             }
         }
         if is_last {
-            return SendingEnd::Finished;
+            return SendingEnd::LastResponse;
         }
         drop(message);
         unsent.remove(body_bytes);
--- a/crates/wire/src/h1/server.rs
+++ b/crates/wire/src/h1/server.rs
@@ -8,7 +8,7 @@
 use super::service::empty_response;
 pub use super::service::{Bound, SOCKET_BUFFER_BYTES, ServerLimits, Service};
 use crate::clock::{sleep_ms, within_ms};
-use crate::close::{close_after_last_message, discard_until_closed};
+use crate::close::{CLOSE_TIMEOUT_MS, close_after_last_message, discard_until_closed};
 use crate::memory::budget::{HolderKind, Purpose, SMALL_BYTES_MAX};
 use crate::memory::{Charge, Hold, Memory};
 use async_channel::Sender;
@@ -121,7 +121,12 @@
     };
     let writing = async {
         match write_responses(writer, &receiver, &unsent, &ending, service).await {
-            SendingEnd::Finished => ConnectionEnd::LastMessageSent,
+            // The time in which a client must show a sign of life also holds for its last response.
+            SendingEnd::LastResponse => {
+                let timeout_ms = service.limits().idle_timeout_ms.max(CLOSE_TIMEOUT_MS);
+                ConnectionEnd::Ended { timeout_ms }
+            }
+            SendingEnd::Finished => ConnectionEnd::Ended { timeout_ms: CLOSE_TIMEOUT_MS },
             SendingEnd::Unread => ConnectionEnd::Unread(Bound::UnreadTime),
         }
     };
@@ -131,11 +136,11 @@
     };
     match or(or(reading, writing), closing).await {
         ConnectionEnd::Closed => {}
-        ConnectionEnd::LastMessageSent => {
+        ConnectionEnd::Ended { timeout_ms } => {
             // What waits to be sent is not needed while the client closes the connection.
             drop(receiver);
             unsent.hold.set_bytes(0);
-            close_after_last_message(stream).await;
+            close_after_last_message(stream, timeout_ms).await;
         }
         ConnectionEnd::Unread(bound) => service.bound_reached(bound),
     }
@@ -145,8 +150,8 @@
 enum ConnectionEnd {
     /// The client closed it, or it failed.
     Closed,
-    /// The last response was sent.
-    LastMessageSent,
+    /// This side ends it, and waits for the client to close it for `timeout_ms` at most.
+    Ended { timeout_ms: u64 },
     /// The client reads no responses.
     Unread(Bound),
 }
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -3,7 +3,7 @@
 //! every body to its end and compares its size with the declared length.
 
 use crate::clock::within_ms;
-use crate::close::close_after_last_message;
+use crate::close::{CLOSE_TIMEOUT_MS, close_after_last_message};
 use crate::h1::MessageError;
 use crate::h1::client::{Connection, ExchangeError};
 use async_net::TcpStream;
@@ -237,7 +237,7 @@
     if let Err(error) = async_h1::accept(connection.clone(), endpoint).await {
         send_malformed_error(&mut connection.stream.clone(), &error.to_string()).await;
     }
-    close_after_last_message(connection.stream.clone()).await;
+    close_after_last_message(connection.stream.clone(), CLOSE_TIMEOUT_MS).await;
 }
 
 /// The connection of a client, with what is kept until the last response is written.
