Heartbeats: a start that is silent gives way to one with a lower time

Cause: starts with one id were ordered by their own time only, so that the heartbeats of the new start were taken for late ones; its leave was acknowledged, although it did not bind the start that was held as current.

Change: a start without heartbeats for two intervals has ended when another one with its id sends a heartbeat. A leave that may concern the target in use, and does not bind it, is not acknowledged.

--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -11,6 +11,10 @@
 /// A target lapses after this many heartbeat intervals without a heartbeat or a response.
 const MISSED_HEARTBEATS_MAX: u64 = 4;
 
+/// A start of a target has ended if its heartbeats are absent for this many intervals while those of
+/// another start with the same id arrive: two, so that one late heartbeat is no evidence.
+const ENDED_HEARTBEATS: u64 = 2;
+
 /// How long a departed target is remembered, in milliseconds: longer than a heartbeat can be
 /// delayed.
 pub const DEPARTED_KEPT_MS: u64 = 60_000;
@@ -25,7 +29,7 @@
 pub struct TargetStart {
     pub id: Arc<str>,
     /// When the target started, in milliseconds since the Unix epoch. A target that restarts with
-    /// the same id has a later time.
+    /// the same id has a later time, unless its clock was set back in between.
     pub born_unix_ms: u64,
 }
 
@@ -121,6 +125,15 @@
     is_unreachable: bool,
 }
 
+impl CurrentTarget {
+    /// Whether this start has ended, and `other` is a new one with the same id although it was born
+    /// earlier by its clock.
+    fn has_ended_before(&self, other: &TargetStart, heartbeat_ms: u64, now_ms: u64) -> bool {
+        other.id == self.last_heartbeat.id
+            && now_ms >= self.last_heartbeat_ms + ENDED_HEARTBEATS * heartbeat_ms
+    }
+}
+
 impl LocalTarget {
     /// Expects a heartbeat from the target every `heartbeat_ms`.
     pub fn new(heartbeat_ms: u64) -> Self {
@@ -139,7 +152,9 @@
         let last = &current.last_heartbeat;
         let is_same_start = last.id == heartbeat.id && last.born_unix_ms == heartbeat.born_unix_ms;
         if !is_same_start {
-            if heartbeat.born_unix_ms < last.born_unix_ms {
+            if heartbeat.born_unix_ms < last.born_unix_ms
+                && !current.has_ended_before(&heartbeat.start(), self.heartbeat_ms, now_ms)
+            {
                 return HeartbeatEffect::Stale;
             }
             self.replace(heartbeat, now_ms);
@@ -178,6 +193,13 @@
         !was_departed && self.has_departed(now_ms)
     }
 
+    /// Whether a leave of `start` may concern the target in use, which would be used on: they have the
+    /// same id, and it is not known yet which of the two starts is the later one.
+    pub fn is_leave_uncertain(&self, start: &TargetStart, now_ms: u64) -> bool {
+        let Some(last) = self.last_heartbeat() else { return false };
+        last.id == start.id && last.born_unix_ms > start.born_unix_ms && !self.has_departed(now_ms)
+    }
+
     /// Records that every target is known that left before this process started. Until then a
     /// heartbeat can be from before a leave that an earlier process acknowledged.
     pub fn set_knows_departed(&mut self) {
--- a/crates/core/tests/mesh_heartbeats.rs
+++ b/crates/core/tests/mesh_heartbeats.rs
@@ -47,6 +47,46 @@
     assert_eq!(&*target.last_heartbeat().unwrap().id, current);
 }
 
+/// A target whose clock was set back before it restarted was ignored, and used on after its leave was
+/// acknowledged.
+#[test]
+fn restart_with_lower_born() {
+    let mut target = target();
+    let restarted = |sequence, state| heartbeat("i-1", 50, sequence, state);
+    let start = restarted(1, TargetState::Ready).start();
+    assert_eq!(target.apply(restarted(1, TargetState::Ready), 100), HeartbeatEffect::Stale);
+    assert!(target.is_leave_uncertain(&start, 100), "a leave must not be acknowledged yet");
+    let later_ms = 2 * HEARTBEAT_MS;
+    let ready = restarted(3, TargetState::Ready);
+    assert_eq!(target.apply(ready, later_ms), HeartbeatEffect::Changed);
+    assert_eq!(target.state(later_ms), TargetState::Ready);
+    target.apply(restarted(4, TargetState::Draining), later_ms + 10);
+    assert_eq!(target.state(later_ms + 10), TargetState::Draining);
+    assert!(!target.is_leave_uncertain(&start, later_ms + 10));
+}
+
+/// A leave is not acknowledged before a heartbeat has shown that the target has restarted.
+#[test]
+fn leave_with_lower_born() {
+    let mut target = target();
+    let start = TargetStart { id: "i-1".into(), born_unix_ms: 50 };
+    assert!(!target.apply_leave(start.clone(), 2 * HEARTBEAT_MS));
+    assert!(target.is_leave_uncertain(&start, 2 * HEARTBEAT_MS));
+    let leaving = heartbeat("i-1", 50, 3, TargetState::Ready);
+    assert_eq!(target.apply(leaving, 2 * HEARTBEAT_MS), HeartbeatEffect::Stale);
+}
+
+/// A late heartbeat of an earlier start must not keep the present one out of use.
+#[test]
+fn present_start_returns() {
+    let mut target = target();
+    let late_ms = 2 * HEARTBEAT_MS;
+    target.apply(heartbeat("i-1", 50, 900, TargetState::Draining), late_ms);
+    assert_eq!(target.state(late_ms), TargetState::Draining);
+    target.apply(heartbeat("i-1", 100, 6, TargetState::Ready), late_ms + 10);
+    assert_eq!(target.state(late_ms + 10), TargetState::Ready);
+}
+
 #[test]
 fn draining_is_final() {
     let mut target = target();
--- a/crates/daemon/src/mesh/operators.rs
+++ b/crates/daemon/src/mesh/operators.rs
@@ -26,6 +26,10 @@
 const OPENMETRICS_CONTENT_TYPE: HeaderValue =
     HeaderValue::from_static("application/openmetrics-text; version=1.0.0; charset=utf-8");
 
+/// The reason to refuse a leave that is in force but not in the store: it would not outlive the daemons.
+const NOT_STORED: &str = "not in the store";
+/// The reason to refuse a leave of a start that seems to be earlier than the one in use.
+const LATER_START: &str = "a later start may be in use";
 /// The limits of requests to the operator port; a heartbeat has some hundred bytes.
 const LIMITS: ServerLimits = ServerLimits {
     header_bytes_max: 16 * 1024,
@@ -117,9 +121,12 @@
         mesh.publish_target_change();
     }
     if let Some(start) = departed {
+        if mesh.local_target.borrow().is_leave_uncertain(&start, now_ms) {
+            return refuse_leave(&id, LATER_START);
+        }
         let is_recorded = mesh.departures.record(start, now_ms).await;
         if !is_recorded {
-            return refuse_leave(&id);
+            return refuse_leave(&id, NOT_STORED);
         }
     }
     json_response(&serde_json::Map::new())
@@ -141,13 +148,16 @@
     if mesh.local_target.borrow_mut().apply_leave(start.clone(), now_ms) {
         mesh.publish_target_change();
     }
+    if mesh.local_target.borrow().is_leave_uncertain(&start, now_ms) {
+        return refuse_leave(id, LATER_START);
+    }
     let is_recorded = mesh.departures.record(start, now_ms).await;
-    if is_recorded { empty_response(StatusCode::OK) } else { refuse_leave(id) }
+    if is_recorded { empty_response(StatusCode::OK) } else { refuse_leave(id, NOT_STORED) }
 }
 
-/// Responds to a leave that is in force but not in the store: it would not outlive the daemons.
-fn refuse_leave(id: &str) -> Response<Bytes> {
-    log_event(Event::LeaveNotStored, &format!("target={id}"));
+/// Responds to a leave that must be sent again.
+fn refuse_leave(id: &str, reason: &str) -> Response<Bytes> {
+    log_event(Event::LeaveNotStored, &format!("target={id} reason={reason}"));
     empty_response(StatusCode::SERVICE_UNAVAILABLE)
 }
 
