Planned stop: requests to the operator port are answered before the exit

What callers saw: a leave that was being written to the store when a stopping daemon exited got no response (the connection ended 2.55 s after SIGTERM).

Cause: the daemon waited for callers, its target and its peers only.

Change: it also waits for requests to its operator port, of which a leave takes 0.8 s at the most.

Evidence: platform late_requests leave_at_exit fails without the new condition (no response at 2.55 s) and passes with it.

--- a/crates/daemon/src/mesh/callers.rs
+++ b/crates/daemon/src/mesh/callers.rs
@@ -1,6 +1,7 @@
 //! The HTTP port where callers and the local target send their requests.
 
 use super::caller_connections::{Admission, CallerConnections};
+use super::in_flight::InFlightGuard;
 use super::{Mesh, listener, request};
 use crate::logging::log_with;
 use async_net::{TcpListener, TcpStream};
@@ -90,13 +91,13 @@
     type ResponseFuture = Pin<Box<dyn Future<Output = Response<Bytes>>>>;
 
     fn respond(&self, request: Request<Bytes>) -> Self::ResponseFuture {
-        let in_flight = InFlightGuard::new(&self.0);
+        let in_flight = InFlightGuard::new(&self.0, |mesh| &mesh.in_flight);
         let arrived_ms = self.0.now_ms();
         Box::pin(async move {
             let (head, body) = request.into_parts();
-            in_flight.0.bodies.record_received(body.len() as u64);
-            let response = request::serve(&in_flight.0, head, body, arrived_ms).await;
-            in_flight.0.outbound_bodies.record_sent(response.body().len() as u64);
+            in_flight.mesh.bodies.record_received(body.len() as u64);
+            let response = request::serve(&in_flight.mesh, head, body, arrived_ms).await;
+            in_flight.mesh.outbound_bodies.record_sent(response.body().len() as u64);
             response
         })
     }
@@ -145,19 +146,3 @@
         self.0.stopped()
     }
 }
-
-/// Counts a request as in flight until it is dropped.
-struct InFlightGuard(Rc<Mesh>);
-
-impl InFlightGuard {
-    fn new(mesh: &Rc<Mesh>) -> Self {
-        mesh.in_flight.set(mesh.in_flight.get() + 1);
-        Self(mesh.clone())
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
-}
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -13,6 +13,7 @@
 mod departures;
 mod discovery;
 mod forward;
+mod in_flight;
 mod inbound;
 mod incoming_links;
 mod links;
@@ -106,6 +107,8 @@
     last_responses: (Sender<()>, Receiver<()>),
     /// Requests of callers that have no response yet.
     pub in_flight: Cell<u32>,
+    /// Requests of the target, the platform and operators that have no response yet.
+    pub operators_in_flight: Cell<u32>,
     pub caller_connections: caller_connections::CallerConnections,
     /// The budget that bodies of requests and responses are charged to.
     pub memory: Arc<Memory>,
@@ -291,6 +294,7 @@
         stop: async_channel::bounded(1),
         last_responses: async_channel::bounded(1),
         in_flight: Cell::new(0),
+        operators_in_flight: Cell::new(0),
         caller_connections: CallerConnections::new(&mesh_settings, &memory, clock),
         memory,
         local,
@@ -407,6 +411,7 @@
             mesh.last_responses.0.close();
         }
         let is_idle = mesh.caller_connections.count() == 0
+            && mesh.operators_in_flight.get() == 0
             && mesh.inbound.in_flight() == 0
             && mesh.links.are_results_written();
         if now_ms >= schedule.exit_ms() || (is_idle && schedule.may_exit(now_ms)) {
--- a/crates/daemon/src/mesh/operators.rs
+++ b/crates/daemon/src/mesh/operators.rs
@@ -1,6 +1,7 @@
 //! The operator port: heartbeats of the local target, readiness, metrics and the dump.
 
 use super::Mesh;
+use super::in_flight::InFlightGuard;
 use super::metrics::GaugeValues;
 use crate::logging::log_event;
 use bytes::Bytes;
@@ -47,8 +48,8 @@
     type ResponseFuture = Pin<Box<dyn Future<Output = Response<Bytes>>>>;
 
     fn respond(&self, request: Request<Bytes>) -> Self::ResponseFuture {
-        let mesh = self.0.clone();
-        Box::pin(async move { handle(&mesh, &request).await })
+        let in_flight = InFlightGuard::new(&self.0, |mesh| &mesh.operators_in_flight);
+        Box::pin(async move { handle(&in_flight.mesh, &request).await })
     }
 
     fn limits(&self) -> ServerLimits {
