--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -11,9 +11,9 @@
 /// A target lapses after this many heartbeat intervals without a heartbeat or a response.
 const MISSED_HEARTBEATS_MAX: u64 = 4;
 
-/// A start of a target has ended if its heartbeats are absent for this many intervals while those of
-/// another start with the same id arrive: two, so that one late heartbeat is no evidence.
-const ENDED_HEARTBEATS: u64 = 2;
+/// A start of a target has ended if another start with the same id sends a heartbeat after this many
+/// intervals without one of its own. A single heartbeat may just be late.
+const ENDED_AFTER_HEARTBEATS: u64 = 2;
 
 /// How long a departed target is remembered, in milliseconds: longer than a heartbeat can be
 /// delayed.
@@ -130,7 +130,7 @@
     /// earlier by its clock.
     fn has_ended_before(&self, other: &TargetStart, heartbeat_ms: u64, now_ms: u64) -> bool {
         other.id == self.last_heartbeat.id
-            && now_ms >= self.last_heartbeat_ms + ENDED_HEARTBEATS * heartbeat_ms
+            && now_ms >= self.last_heartbeat_ms + ENDED_AFTER_HEARTBEATS * heartbeat_ms
     }
 }
 
--- a/crates/core/src/mesh/stop_schedule.rs
+++ b/crates/core/src/mesh/stop_schedule.rs
@@ -19,8 +19,8 @@
 /// How long before the exit targets give up a request, in milliseconds. Their responses arrive before the
 /// last responses are decided.
 const RUN_MARGIN_MS: u64 = 300;
-
-/// A request is passed on during the stop only if this multiple of its typical service time is left.
+/// A request is passed on during the stop only if this multiple of its typical service time is left,
+/// because many requests take longer than that.
 const SERVICE_TIME_FACTOR: f64 = 2.0;
 
 /// The times of a planned stop, by the daemon's clock in milliseconds.
