--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -81,7 +81,8 @@
         let head = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
         self.buffer.drain(..end + 4);
         let mut lines = head.split("\r\n");
-        let mut message = Message { start: lines.next().unwrap_or_default().into(), ..Message::default() };
+        let mut message =
+            Message { start: lines.next().unwrap_or_default().into(), ..Message::default() };
         for line in lines {
             let (name, value) = line.split_once(':').unwrap_or((line, ""));
             message.headers.push((name.to_ascii_lowercase(), value.trim().to_string()));
@@ -152,7 +153,10 @@
 
 /// Serves connections until the process ends: each request gets the bytes that `handle` returns, or
 /// the connection is closed if it returns none.
-pub fn serve(addr: SocketAddr, handle: impl Fn(&Message) -> Option<Vec<u8>> + Send + Sync + 'static) {
+pub fn serve(
+    addr: SocketAddr,
+    handle: impl Fn(&Message) -> Option<Vec<u8>> + Send + Sync + 'static,
+) {
     let listener = TcpListener::bind(addr).expect("the port is free");
     let handle = Arc::new(handle);
     std::thread::spawn(move || {
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -3,10 +3,14 @@
 
 #![allow(dead_code, reason = "each case uses only some of what the stand-ins offer")]
 
+mod foreign_drain;
+mod foreign_outage;
 mod http;
 mod json;
+mod key_passed_on;
 mod old_start;
 mod platform;
+mod proxy;
 mod store;
 
 use platform::{CannotRun, Record};
@@ -23,6 +27,9 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     record.say(if has_trouble { "with the disruption" } else { "without the disruption" });
     let outcome = match case.as_str() {
+        "foreign-drain" => foreign_drain::play(&record, has_trouble),
+        "foreign-outage" => foreign_outage::play(&record, has_trouble),
+        "key-passed-on" => key_passed_on::play(&record, has_trouble),
         "old-start" => old_start::play(&record, has_trouble),
         other => Err(CannotRun(format!("no case '{other}'"))),
     };
--- a/review/standins-3/old_start.rs
+++ b/review/standins-3/old_start.rs
@@ -2,8 +2,8 @@
 //! which was on its way since before the crash.
 
 use crate::platform::{
-    Arrival, BEAT_MS, DRAIN_MS, Instance, InstanceServer, Machine, Outcome, Platform, Record, CannotRun,
-    beat_until, client, config, sleep_ms, sleep_until,
+    Arrival, BEAT_MS, CannotRun, DRAIN_MS, Instance, InstanceServer, Machine, Outcome, Platform,
+    Record, beat_until, client, config, sleep_ms, sleep_until,
 };
 use std::sync::{Arc, Mutex};
 
@@ -22,7 +22,8 @@
     for machine in &machines {
         platform.start_daemon(machine, true)?;
     }
-    let servers = machines.each_ref().map(|machine| InstanceServer::start(machine, record, WORK_MS));
+    let servers =
+        machines.each_ref().map(|machine| InstanceServer::start(machine, record, WORK_MS));
     let stop_all = Arc::new(Mutex::new(false));
     let other = Instance::start("i-50c2d1aa", &machines[1], &servers[1], record);
     let other = beat_until(other, stop_all.clone());
@@ -101,11 +102,15 @@
     let arrivals = servers[0].arrivals();
     let is_late = |arrival: &&Arrival| !arrival.is_rejected && arrival.at_ms > acked_ms + DRAIN_MS;
     let late: Vec<_> = arrivals.iter().filter(is_late).collect();
-    let orders_cut = late.iter().filter(|arrival| arrival.is_cut && arrival.method == "POST").count();
+    let orders_cut =
+        late.iter().filter(|arrival| arrival.is_cut && arrival.method == "POST").count();
     for arrival in late.iter().take(5) {
         record.say(&format!(
             "{} {} id={} reached the instance {} ms after its drain was acknowledged",
-            arrival.method, arrival.path, arrival.id, arrival.at_ms - acked_ms
+            arrival.method,
+            arrival.path,
+            arrival.id,
+            arrival.at_ms - acked_ms
         ));
     }
     let served = answers.iter().filter(|answer| answer.status == 200).count();
--- a/review/standins-3/platform.rs
+++ b/review/standins-3/platform.rs
@@ -68,7 +68,9 @@
 pub fn free_addr() -> SocketAddr {
     static TESTED: AtomicU32 = AtomicU32::new(0);
     loop {
-        let step = std::process::id().wrapping_mul(977).wrapping_add(TESTED.fetch_add(1, Ordering::Relaxed));
+        let step = std::process::id()
+            .wrapping_mul(977)
+            .wrapping_add(TESTED.fetch_add(1, Ordering::Relaxed));
         let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 12_000 + (step % 20_000) as u16));
         if TcpListener::bind(addr).is_ok() {
             return addr;
@@ -91,6 +93,10 @@
     pub app: SocketAddr,
     /// Where the daemon reaches its instance, if that is not `app` but a proxy before it.
     pub app_seen: SocketAddr,
+    /// Where other daemons reach this one, and where it reaches the store, if there are proxies before
+    /// them.
+    pub inner_seen: Option<SocketAddr>,
+    pub store_seen: Option<SocketAddr>,
 }
 
 impl Machine {
@@ -108,6 +114,8 @@
             metrics: free_addr(),
             app,
             app_seen: app,
+            inner_seen: None,
+            store_seen: None,
         }
     }
 }
@@ -148,11 +156,13 @@
             machine.inner,
             machine.outbound,
             machine.control,
-            self.store.addr,
+            machine.store_seen.unwrap_or(self.store.addr),
             machine.ready,
             machine.metrics,
             machine.app_seen,
         );
+        let advertised = machine.inner_seen.map(|addr| format!("advertised_addr: \"{addr}\"\n"));
+        let settings = advertised.unwrap_or_default() + &settings;
         let path = self.dir.join(format!("{name}.conf"));
         std::fs::write(&path, settings).map_err(|error| CannotRun(error.to_string()))?;
         let log = std::fs::File::options()
@@ -220,7 +230,11 @@
     fn drop(&mut self) {
         for child in self.daemons.values_mut() {
             // A stopped process must go on to end.
-            Command::new("kill").args(["-CONT", &child.id().to_string()]).stderr(Stdio::null()).status().ok();
+            Command::new("kill")
+                .args(["-CONT", &child.id().to_string()])
+                .stderr(Stdio::null())
+                .status()
+                .ok();
             child.kill().ok();
             child.wait().ok();
         }
@@ -249,6 +263,9 @@
     pub body_bytes: usize,
     pub caller_service: String,
     pub deadline_ms: String,
+    pub tenant: String,
+    /// The client's key, if it was passed on.
+    pub authorization: String,
     /// The instance rejected it with 421 or as not executed.
     pub is_rejected: bool,
     /// The instance ended while it worked on it.
@@ -293,7 +310,13 @@
         self.shared.lock().unwrap().arrivals.clone()
     }
 
-    fn handle(&self, request: &Message, record: &Record, name: &str, work_ms: u64) -> Option<Vec<u8>> {
+    fn handle(
+        &self,
+        request: &Message,
+        record: &Record,
+        name: &str,
+        work_ms: u64,
+    ) -> Option<Vec<u8>> {
         let text = |header: &str| request.header(header).unwrap_or_default().to_string();
         let (id, start, index) = {
             let mut served = self.shared.lock().unwrap();
@@ -312,12 +335,14 @@
                 body_bytes: request.body.len(),
                 caller_service: text("pomeloreach-caller-service"),
                 deadline_ms: text("pomeloreach-request-deadline"),
+                tenant: text("pomeloreach-tenant-id"),
+                authorization: text("authorization"),
                 is_rejected,
                 is_cut: false,
             };
             record.line(&format!(
-                "instance {running} on {name}: {} {} id={} rejected={is_rejected}",
-                arrival.method, arrival.path, arrival.id
+                "instance {running} on {name}: {} {} id={} tenant={:?} authorization={:?} rejected={is_rejected}",
+                arrival.method, arrival.path, arrival.id, arrival.tenant, arrival.authorization
             ));
             served.arrivals.push(arrival);
             if is_rejected {
@@ -329,7 +354,10 @@
         let mut served = self.shared.lock().unwrap();
         if served.running != Some((id.clone(), start)) {
             served.arrivals[index].is_cut = true;
-            record.line(&format!("instance {id} on {name} ended while it worked on {}", text("pomeloreach-request-id")));
+            record.line(&format!(
+                "instance {id} on {name} ended while it worked on {}",
+                text("pomeloreach-request-id")
+            ));
             return None;
         }
         let signature = format!("sig-{id}-{index}");
@@ -338,8 +366,13 @@
             ("Pomeloreach-Response-Signature", signature),
             ("Keep-Alive", "timeout=10".to_string()),
         ];
-        let headers: Vec<(&str, &str)> = headers.iter().map(|(name, value)| (*name, value.as_str())).collect();
-        Some(http::response(200, &headers, &format!("from {id} to {}", text("pomeloreach-request-id"))))
+        let headers: Vec<(&str, &str)> =
+            headers.iter().map(|(name, value)| (*name, value.as_str())).collect();
+        Some(http::response(
+            200,
+            &headers,
+            &format!("from {id} to {}", text("pomeloreach-request-id")),
+        ))
     }
 }
 
@@ -415,13 +448,17 @@
     let headers = [("Host", "daemon"), ("Content-Type", "application/json")];
     let request = http::request(method, &format!("/-/instances/{id}"), &headers, body);
     let connection = http::Connection::connect(machine.control, BEAT_TIMEOUT_MS);
-    let response = connection.and_then(|mut connection| connection.exchange(&request, BEAT_TIMEOUT_MS));
+    let response =
+        connection.and_then(|mut connection| connection.exchange(&request, BEAT_TIMEOUT_MS));
     response.map_or(0, |response| response.status())
 }
 
 /// Sends heartbeats of an instance with the state `ready` at the platform's interval until `stop` is
 /// set.
-pub fn beat_until(mut instance: Instance, stop: Arc<Mutex<bool>>) -> std::thread::JoinHandle<Instance> {
+pub fn beat_until(
+    mut instance: Instance,
+    stop: Arc<Mutex<bool>>,
+) -> std::thread::JoinHandle<Instance> {
     std::thread::spawn(move || {
         while !*stop.lock().unwrap() {
             let beat = instance.next_beat("ready");
@@ -455,6 +492,19 @@
     stop: Arc<Mutex<bool>>,
     pause_ms: u64,
     kinds: &'static [(&'static str, &'static str)],
+) -> std::thread::JoinHandle<Vec<Answer>> {
+    client_with_key(name, machine, record, stop, pause_ms, kinds, None)
+}
+
+/// Like [`client`], with an API key.
+pub fn client_with_key(
+    name: &str,
+    machine: &Machine,
+    record: &Record,
+    stop: Arc<Mutex<bool>>,
+    pause_ms: u64,
+    kinds: &'static [(&'static str, &'static str)],
+    key: Option<&'static str>,
 ) -> std::thread::JoinHandle<Vec<Answer>> {
     let (name, addr, record) = (name.to_string(), machine.outbound, record.clone());
     std::thread::spawn(move || {
@@ -466,11 +516,13 @@
             }
             let id = format!("{name}-{number}");
             let (method, path) = kinds[number % kinds.len()];
-            let headers = [
+            let mut headers = vec![
                 ("Host", "shop.example"),
                 ("Pomeloreach-Request-Id", id.as_str()),
                 ("Pomeloreach-Request-Deadline", "2500"),
             ];
+            let authorization = key.map(|key| format!("Token {key}"));
+            headers.extend(authorization.as_deref().map(|value| ("Authorization", value)));
             let body = if method == "POST" { "an order" } else { "" };
             let request = http::request(method, path, &headers, body);
             let sent_ms = record.at_ms();
@@ -547,6 +599,18 @@
     json::object(vec![("version", json::number(version)), ("resources", Json::List(resources))])
 }
 
+/// The same with one tenant.
+pub fn config_with_tenant(version: u64, service: &str, tenant: &str, key: &str) -> Json {
+    let Json::Object(mut fields) = config(version, service) else { unreachable!() };
+    if let Json::List(resources) = &mut fields[1].1 {
+        let keys = Json::List(vec![json::text(key)]);
+        let spec =
+            vec![("name", json::text(tenant)), ("api_keys", keys), ("priority", json::number(1))];
+        resources.push(resource("tenants", tenant, spec));
+    }
+    Json::Object(fields)
+}
+
 fn resource(kind: &str, name: &str, spec: Vec<(&str, Json)>) -> Json {
     let metadata = if name.is_empty() { Vec::new() } else { vec![("name", json::text(name))] };
     json::object(vec![
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -82,7 +82,10 @@
         let (path, query) = request.path().split_once('?').unwrap_or((request.path(), ""));
         let query_number = |name: &str| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.into_iter().find(|(key, _)| *key == name).and_then(|(_, value)| value.parse().ok())
+            pairs
+                .into_iter()
+                .find(|(key, _)| *key == name)
+                .and_then(|(_, value)| value.parse().ok())
         };
         let path = path.trim_start_matches("/-/objects/");
         let (kind, name) = match path.split_once('/') {
@@ -106,7 +109,9 @@
                 Some(after) => self.watch(kind, after, query_number("wait_ms").unwrap_or(0)),
                 None => self.list(kind),
             },
-            ("GET", Some(_)) => present.map_or(answer(404, &Json::Null), |found| answer(200, &found)),
+            ("GET", Some(_)) => {
+                present.map_or(answer(404, &Json::Null), |found| answer(200, &found))
+            }
             ("POST", None) => {
                 let name = body.get("metadata").get("name").text().unwrap_or_default().to_string();
                 let exists = {
