Client accounts: an API key never reaches a target, whatever version is in force

Cause: credentials were removed, and accounts looked up, only if the version in force had accounts. Under a version without accounts a daemon so permitted what a newer one can forbid.

A value of Authorization that may be a key (scheme Token, or none) is now removed under every version, at the origin and at the daemon of the target. A request with an unknown key, where none is needed, runs without an account only if the version in force was confirmed in the last 2 s and no newer one is known.

--- a/crates/cli/src/cmd/explain.rs
+++ b/crates/cli/src/cmd/explain.rs
@@ -90,6 +90,9 @@
         (Some("-") | None, Some(problem @ ("missing" | "unknown"))) => {
             format!(" The caller's API key was {problem}.")
         }
+        (Some("-") | None, Some("unconfirmed")) => {
+            " Whether an account has the caller's API key could not be confirmed.".to_string()
+        }
         (Some("-") | None, _) => String::new(),
         (Some(account), _) => format!(" The caller's account was {account}."),
     };
--- a/crates/core/examples/account_lookups.rs
+++ b/crates/core/examples/account_lookups.rs
@@ -87,12 +87,12 @@
     print_times("hashing a key", &hashing);
     let known = times_ns(|lookup| {
         let digest = digests[position(lookup)];
-        black_box(index.account_for(false, black_box(Some(digest))).is_ok());
+        black_box(index.account_for(false, black_box(Some(digest)), true).is_ok());
     });
     print_times("look-up of a known key", &known);
     let unknown = KeyDigest::of("unknown");
     let unknown = times_ns(|_| {
-        black_box(index.account_for(false, black_box(Some(unknown))).is_ok());
+        black_box(index.account_for(false, black_box(Some(unknown)), true).is_ok());
     });
     print_times("look-up of an unknown key", &unknown);
 }
--- a/crates/core/src/account_index.rs
+++ b/crates/core/src/account_index.rs
@@ -24,16 +24,19 @@
     Missing,
     /// No account has the request's key.
     Unknown,
+    /// No account has the request's key in the version in force, which would let the request pass, but
+    /// a newer version may have an account with it.
+    Unconfirmed,
 }
 
 impl KeyProblem {
     /// The result of the request. Callers do not repeat a request after status 401, so a key that a
     /// newer version may have added must not get it. A missing key stays missing in any version.
     pub fn code(self, version_in_force: u64, newest_known_version: u64) -> ResultCode {
-        if self == Self::Unknown && newest_known_version > version_in_force {
-            ResultCode::ConfigOutdated
-        } else {
-            ResultCode::KeyRefused
+        match self {
+            Self::Unconfirmed => ResultCode::ConfigOutdated,
+            Self::Unknown if newest_known_version > version_in_force => ResultCode::ConfigOutdated,
+            Self::Missing | Self::Unknown => ResultCode::KeyRefused,
         }
     }
 }
@@ -82,7 +85,9 @@
         self.accounts == 0
     }
 
-    /// Finds the account of a request to a route. A public route needs no key and accepts any.
+    /// Finds the account of a request to a route. A public route needs no key and accepts any, and so
+    /// does every route without accounts. A request with an unknown key then runs without an account,
+    /// which is only right if the version `is_current`: a newer one may have an account with the key.
     ///
     /// # Errors
     ///
@@ -91,13 +96,16 @@
         &self,
         is_public: bool,
         key: Option<KeyDigest>,
+        is_current: bool,
     ) -> Result<Option<Arc<MatchedAccount>>, KeyProblem> {
         let found = key.and_then(|key| self.by_key.get(&key));
+        let needs_key = !is_public && !self.is_empty();
         match (found, key) {
             (Some(account), _) => Ok(Some(account.clone())),
-            (None, _) if is_public || self.is_empty() => Ok(None),
-            (None, Some(_)) => Err(KeyProblem::Unknown),
-            (None, None) => Err(KeyProblem::Missing),
+            (None, Some(_)) if needs_key => Err(KeyProblem::Unknown),
+            (None, None) if needs_key => Err(KeyProblem::Missing),
+            (None, Some(_)) if !is_current => Err(KeyProblem::Unconfirmed),
+            (None, _) => Ok(None),
         }
     }
 }
--- a/crates/core/src/mesh/state.rs
+++ b/crates/core/src/mesh/state.rs
@@ -114,7 +114,18 @@
     pub confirmed_revision: Option<u64>,
 }
 
+/// The age of the last confirmation up to which a version counts as current, in milliseconds. Two
+/// daemons confirm it every 800 ms, and a daemon without a confirmation for 1,500 ms reads the store
+/// itself, see [`crate::mesh::readers`].
+const CURRENT_AGE_MS_MAX: u32 = 2_000;
+
 impl ConfigState {
+    /// Whether the version in force was confirmed a short time ago, and no newer one is known.
+    pub fn is_current(&self, newest_known_version: u64) -> bool {
+        newest_known_version <= self.version
+            && self.confirmed_age_ms.is_some_and(|age_ms| age_ms <= CURRENT_AGE_MS_MAX)
+    }
+
     /// The time of the last confirmation that the store held no newer version, on the clock that
     /// reads `now_ms`. Negative if that was before the clock started.
     pub fn confirmed_ms(&self, now_ms: u64) -> Option<i64> {
--- a/crates/core/tests/account_index.rs
+++ b/crates/core/tests/account_index.rs
@@ -8,6 +8,7 @@
 use pomeloreach_core::mesh::delta::Delta;
 use pomeloreach_core::mesh::history::RowHistory;
 use pomeloreach_core::mesh::published::PublishedConfig;
+use pomeloreach_core::mesh::state::ConfigState;
 use pomeloreach_core::row::{Pool, Route};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -24,7 +25,7 @@
 
 /// The name of the account that a request gets, or why it is refused.
 fn find(index: &AccountIndex, is_public: bool, key: Option<&str>) -> Result<String, KeyProblem> {
-    let found = index.account_for(is_public, key.map(KeyDigest::of))?;
+    let found = index.account_for(is_public, key.map(KeyDigest::of), true)?;
     Ok(found.map_or_else(|| "none".to_string(), |account| account.name.to_string()))
 }
 
@@ -61,12 +62,43 @@
     assert_eq!(find(&without_keys, false, Some("k1")), Err(KeyProblem::Unknown));
 }
 
+/// Guards against a request that runs without the account of its key because the daemon has not learned
+/// of the version that brought the account.
+#[test]
+fn unknown_key_needs_current_version() {
+    let key = |name: &str| Some(KeyDigest::of(name));
+    let without_accounts = AccountIndex::new(&BTreeMap::new()).unwrap();
+    let index = AccountIndex::new(&accounts(&[("a", &["k1"])])).unwrap();
+    for (index, is_public) in
+        [(&without_accounts, false), (&without_accounts, true), (&index, true)]
+    {
+        let unconfirmed = Err(KeyProblem::Unconfirmed);
+        assert_eq!(index.account_for(is_public, key("k4"), false), unconfirmed);
+        assert_eq!(index.account_for(is_public, key("k4"), true), Ok(None));
+        assert_eq!(index.account_for(is_public, None, false), Ok(None), "no version helps");
+    }
+    assert_eq!(index.account_for(false, key("k4"), false), Err(KeyProblem::Unknown));
+    assert!(index.account_for(false, key("k1"), false).unwrap().is_some());
+}
+
+/// Guards against a version that counts as current for a daemon that is cut off, or knows of a newer one.
+#[yare::parameterized(
+    confirmed = { Some(1_600), 7, true },
+    not_confirmed = { None, 7, false },
+    confirmed_long_ago = { Some(2_500), 7, false },
+    newer_version_known = { Some(100), 8, false },
+)]
+fn current_versions(confirmed_age_ms: Option<u32>, newest_known_version: u64, is_current: bool) {
+    let state = ConfigState { version: 7, confirmed_age_ms, ..ConfigState::default() };
+    assert_eq!(state.is_current(newest_known_version), is_current);
+}
+
 /// Guards against a match that loses the priority or the quota of its account.
 #[test]
 fn match_has_priority_and_quota() {
     let row = Account { priority: 3, quota: Some(QUOTA), ..account(&["k1"]) };
     let index = AccountIndex::new(&BTreeMap::from([("a".into(), row)])).unwrap();
-    let found = index.account_for(false, Some(KeyDigest::of("k1"))).unwrap().unwrap();
+    let found = index.account_for(false, Some(KeyDigest::of("k1")), true).unwrap().unwrap();
     assert_eq!((found.priority, found.quota), (3, Some(QUOTA)));
 }
 
@@ -90,6 +122,7 @@
     assert_eq!(code(KeyProblem::Unknown, 8), ResultCode::ConfigOutdated);
     assert_eq!(code(KeyProblem::Missing, 7), ResultCode::KeyRefused);
     assert_eq!(code(KeyProblem::Missing, 8), ResultCode::KeyRefused);
+    assert_eq!(code(KeyProblem::Unconfirmed, 7), ResultCode::ConfigOutdated);
 }
 
 /// Guards against an update between daemons in which a withdrawn key stays valid.
--- a/crates/daemon/src/mesh/accounts.rs
+++ b/crates/daemon/src/mesh/accounts.rs
@@ -20,11 +20,12 @@
     route: &MatchedRoute,
     request_headers: &HeaderMap,
 ) -> Result<Option<Arc<MatchedAccount>>, KeyProblem> {
-    if accounts.is_empty() {
+    let key = headers::caller_key(request_headers);
+    if accounts.is_empty() && key.is_none() {
         return Ok(None);
     }
-    let key = headers::caller_key(request_headers);
-    let found = accounts.account_for(route.route.is_public, key);
+    let is_current = mesh.config_state().is_current(mesh.newest_known_version());
+    let found = accounts.account_for(route.route.is_public, key, is_current);
     match &found {
         Ok(Some(account)) => mesh.metrics.account_request_started(&account.name),
         Ok(None) => {}
--- a/crates/daemon/src/mesh/forward.rs
+++ b/crates/daemon/src/mesh/forward.rs
@@ -135,6 +135,8 @@
         let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
         request.headers_mut().append(name, HeaderValue::from_str(value).ok()?);
     }
+    // The origin may run an earlier build.
+    headers::remove_possible_key(request.headers_mut());
     headers::set_forward_headers(request.headers_mut(), left_ms, &inbound.request.instance);
     Some(request)
 }
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -224,7 +224,9 @@
 ) -> CallRequest {
     let mut of_caller = head.headers.clone();
     headers::remove_daemon_headers(&mut of_caller);
-    if !accounts.is_empty() {
+    if accounts.is_empty() {
+        headers::remove_possible_key(&mut of_caller);
+    } else {
         headers::remove_credentials(&mut of_caller);
     }
     let mut forwarded = end_to_end_headers(&of_caller);
