Headers: credentials for a proxy are not passed on

Targets received a caller's Proxy-Authorization, which is addressed to the next proxy and ends there (RFC 9110, 11.7).

The list of headers of one connection had Proxy-Connection only.

--- a/crates/wire/src/h1/mod.rs
+++ b/crates/wire/src/h1/mod.rs
@@ -22,11 +22,13 @@
 
 /// Headers that apply to one connection only. `content-length` and `expect` are included because
 /// the client and the server of this module set the length and handle `expect` themselves.
-const HOP_BY_HOP: [&str; 9] = [
+const HOP_BY_HOP: [&str; 11] = [
     "connection",
     "content-length",
     "expect",
     "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
     "proxy-connection",
     "te",
     "trailer",
