Heartbeats: a call that lacks a field names no target

Cause: the decoder required only the fields that the daemon uses, and took 'born' as 0 if it was missing. A leave whose body had no valid 'born' counted as a leave of the start in use.

platform::control now requires every field with its type, and is the one place that decides whether a call names a target.

--- a/crates/daemon/src/mesh/operators.rs
+++ b/crates/daemon/src/mesh/operators.rs
@@ -13,7 +13,7 @@
 use pomeloreach_core::mesh::peers::Peer;
 use pomeloreach_core::mesh::state::{DaemonRecord, DaemonState};
 use pomeloreach_platform::control::{
-    ControlCall, decode_heartbeat, decode_leave, parse_control_call,
+    ControlCall, TargetCallError, decode_heartbeat, decode_leave, parse_control_call,
 };
 use pomeloreach_wire::clock::unix_ms;
 use pomeloreach_wire::h1::server::{ServerLimits, Service};
@@ -97,10 +97,7 @@
     let decoded = decode_heartbeat(id.clone(), body, settings.target_addr, &settings.service);
     let heartbeat = match decoded {
         Ok(heartbeat) => heartbeat,
-        Err(error) => {
-            log_event(Event::HeartbeatRefused, &format!("target={id} reason={error}"));
-            return empty_response(StatusCode::BAD_REQUEST);
-        }
+        Err(error) => return refuse_target_call(&id, &error),
     };
     let detail = format!(
         "target={id} state={} sequence={} born_unix_ms={} slots={} cold_left_ms={}",
@@ -141,7 +138,10 @@
         .filter(|last| &*last.id == id)
         .map(|last| last.born_unix_ms);
     // A target that is not known and does not report its start time started before now.
-    let born_unix_ms = decode_leave(body).or(last_born_unix_ms).unwrap_or_else(unix_ms);
+    let born_unix_ms = match decode_leave(body) {
+        Ok(born_unix_ms) => born_unix_ms.or(last_born_unix_ms).unwrap_or_else(unix_ms),
+        Err(error) => return refuse_target_call(id, &error),
+    };
     let start = TargetStart { id: id.into(), born_unix_ms };
     let now_ms = mesh.now_ms();
     mesh.peers.borrow_mut().add_departed(start.clone(), now_ms);
@@ -156,6 +156,12 @@
     if is_recorded { empty_response(StatusCode::OK) } else { refuse_leave(id, NOT_STORED) }
 }
 
+/// Responds to a call that names no target, and changes nothing.
+fn refuse_target_call(id: &str, error: &TargetCallError) -> Response<Bytes> {
+    log_event(Event::HeartbeatRefused, &format!("target={id} reason={error}"));
+    empty_response(StatusCode::BAD_REQUEST)
+}
+
 /// Responds to a leave that must be sent again.
 fn refuse_leave(id: &str, reason: &str) -> Response<Bytes> {
     log_event(Event::LeaveNotStored, &format!("target={id} reason={reason}"));
