Heartbeats: a silent start gives way to any other

Cause: only a start with the same id gave way after silence, and nothing that the address answers counted. The order by numbers that a sender states was kept against all evidence. 421 and late responses also counted for the current start when they belonged to the one before it.

The current start now gives way after two silent intervals, or once its address refuses a connection or answers for another target. Responses and 421 count for the id that the request named.

--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -1,7 +1,10 @@
 //! Tracks the state of the local target from its heartbeats.
 //!
-//! Heartbeats can arrive late, and from an earlier start of a target at the same address. They are
-//! ordered by the time of the start, then by their sequence number.
+//! Heartbeats can arrive late, from an earlier start of a target at the same address, and from another
+//! writer. They are ordered by the time of the start, then by their sequence number. That order is not
+//! certain: clocks are set back, and another writer states any time. So it only holds while the current
+//! start is heard from, and while the responses at its address do not contradict it; see `docs/MESH.md`,
+//! "The local target".
 
 use crate::endpoint::TargetState;
 use serde::{Deserialize, Serialize};
@@ -11,9 +14,9 @@
 /// A target lapses after this many heartbeat intervals without a heartbeat or a response.
 const MISSED_HEARTBEATS_MAX: u64 = 4;
 
-/// A start of a target has ended if another start with the same id sends a heartbeat after this many
-/// intervals without one of its own. A single heartbeat may just be late.
-const ENDED_AFTER_HEARTBEATS: u64 = 2;
+/// The current start gives way to any other that sends a heartbeat after this many intervals without
+/// one of its own. A single heartbeat may just be late.
+const SILENT_AFTER_HEARTBEATS: u64 = 2;
 
 /// How long a departed target is remembered, in milliseconds: longer than a heartbeat can be
 /// delayed.
@@ -126,11 +129,20 @@
 }
 
 impl CurrentTarget {
-    /// Whether this start has ended, and `other` is a new one with the same id although it was born
-    /// earlier by its clock.
-    fn has_ended_before(&self, other: &TargetStart, heartbeat_ms: u64, now_ms: u64) -> bool {
-        other.id == self.last_heartbeat.id
-            && now_ms >= self.last_heartbeat_ms + ENDED_AFTER_HEARTBEATS * heartbeat_ms
+    /// Whether a heartbeat replaces the last one: it is a later one by the order of starts and sequence
+    /// numbers, or that order no longer holds.
+    fn gives_way_to(&self, heartbeat: &Heartbeat, heartbeat_ms: u64, now_ms: u64) -> bool {
+        let last = &self.last_heartbeat;
+        let is_later = if last.start() == heartbeat.start() {
+            heartbeat.sequence > last.sequence
+        } else {
+            heartbeat.born_unix_ms > last.born_unix_ms
+        };
+        // A response has the id of the target, which can be that of either start.
+        let heard_ms =
+            if last.id == heartbeat.id { self.last_heartbeat_ms } else { self.last_received_ms };
+        let is_silent = now_ms >= heard_ms + SILENT_AFTER_HEARTBEATS * heartbeat_ms;
+        is_later || is_silent || self.is_unreachable
     }
 }
 
@@ -149,20 +161,14 @@
             self.replace(heartbeat, now_ms);
             return HeartbeatEffect::Changed;
         };
+        if !current.gives_way_to(&heartbeat, self.heartbeat_ms, now_ms) {
+            return HeartbeatEffect::Stale;
+        }
         let last = &current.last_heartbeat;
-        let is_same_start = last.id == heartbeat.id && last.born_unix_ms == heartbeat.born_unix_ms;
-        if !is_same_start {
-            if heartbeat.born_unix_ms < last.born_unix_ms
-                && !current.has_ended_before(&heartbeat.start(), self.heartbeat_ms, now_ms)
-            {
-                return HeartbeatEffect::Stale;
-            }
+        if last.start() != heartbeat.start() {
             self.replace(heartbeat, now_ms);
             return HeartbeatEffect::Changed;
         }
-        if heartbeat.sequence <= last.sequence {
-            return HeartbeatEffect::Stale;
-        }
         let changed = current.is_unreachable
             || last.state != heartbeat.state
             || last.slots != heartbeat.slots;
@@ -218,21 +224,27 @@
         self.last_heartbeat().is_some_and(|last| self.departed.has_departed(&last.start(), now_ms))
     }
 
-    /// Marks the target as unreachable after it refused a connection or another target answered at
-    /// its address.
-    pub fn mark_unreachable(&mut self) {
-        if let Some(current) = &mut self.current {
+    /// Marks the target with this id as unreachable after it refused a connection or another target
+    /// answered at its address. Has no effect if it is not the current one: a request for an earlier one
+    /// can wait in the queue while that is replaced.
+    pub fn mark_unreachable(&mut self, id: &str) {
+        if let Some(current) = self.current_with_id(id) {
             current.is_unreachable = true;
         }
     }
 
-    /// Records a response of the target. Like a heartbeat, it keeps the target from lapsing.
-    pub fn note_response(&mut self, now_ms: u64) {
-        if let Some(current) = &mut self.current {
+    /// Records a response of the target with this id. Like a heartbeat, it keeps the target from lapsing
+    /// if it is the current one.
+    pub fn note_response(&mut self, id: &str, now_ms: u64) {
+        if let Some(current) = self.current_with_id(id) {
             current.last_received_ms = now_ms;
         }
     }
 
+    fn current_with_id(&mut self, id: &str) -> Option<&mut CurrentTarget> {
+        self.current.as_mut().filter(|current| &*current.last_heartbeat.id == id)
+    }
+
     pub fn last_heartbeat(&self) -> Option<&Heartbeat> {
         self.current.as_ref().map(|current| &current.last_heartbeat)
     }
--- a/crates/core/tests/mesh_heartbeats.rs
+++ b/crates/core/tests/mesh_heartbeats.rs
@@ -87,6 +87,60 @@
     assert_eq!(target.state(late_ms + 10), TargetState::Ready);
 }
 
+/// A heartbeat of another writer with a later time kept the true target out of use for good.
+#[yare::parameterized(
+    answers_421 = { true, HEARTBEAT_MS },
+    is_silent = { false, 3 * HEARTBEAT_MS },
+)]
+fn foreign_start_gives_way(is_unreachable: bool, returns_ms: u64) {
+    let mut target = target();
+    assert_eq!(
+        target.apply(heartbeat("i-9", 900, 1, TargetState::Ready), 10),
+        HeartbeatEffect::Changed
+    );
+    if is_unreachable {
+        target.mark_unreachable("i-9");
+    }
+    for now_ms in (HEARTBEAT_MS..=returns_ms).step_by(HEARTBEAT_MS as usize) {
+        let sequence = 5 + now_ms / HEARTBEAT_MS;
+        let effect = target.apply(heartbeat("i-1", 100, sequence, TargetState::Ready), now_ms);
+        let returns = now_ms == returns_ms;
+        assert_eq!(effect == HeartbeatEffect::Changed, returns, "at {now_ms} ms");
+    }
+    assert_eq!(&*target.last_heartbeat().unwrap().id, "i-1");
+    assert_eq!(target.state(returns_ms), TargetState::Ready);
+}
+
+/// A new target whose clock was set back was shut out by the one before it.
+#[test]
+fn successor_with_lower_born() {
+    let mut target = target();
+    let successor = |sequence| heartbeat("i-2", 50, sequence, TargetState::Ready);
+    assert_eq!(target.apply(successor(1), 10), HeartbeatEffect::Stale);
+    assert_eq!(target.apply(successor(3), 2 * HEARTBEAT_MS), HeartbeatEffect::Changed);
+    assert_eq!(target.state(2 * HEARTBEAT_MS), TargetState::Ready);
+}
+
+/// A late heartbeat of another target must not replace one that answers requests under its id.
+#[test]
+fn responses_keep_current_target() {
+    let mut target = target();
+    target.note_response("i-1", 2 * HEARTBEAT_MS);
+    let late = heartbeat("i-0", 50, 900, TargetState::Ready);
+    assert_eq!(target.apply(late, 3 * HEARTBEAT_MS), HeartbeatEffect::Stale);
+}
+
+/// A heartbeat of another writer with a high sequence number hid all later ones of the target.
+#[test]
+fn foreign_sequence_gives_way() {
+    let mut target = target();
+    target.apply(heartbeat("i-1", 100, u64::MAX, TargetState::Ready), 10);
+    let next = |sequence, state| heartbeat("i-1", 100, sequence, state);
+    assert_eq!(target.apply(next(6, TargetState::Ready), 1_500), HeartbeatEffect::Stale);
+    assert_eq!(target.apply(next(8, TargetState::Draining), 4_500), HeartbeatEffect::Changed);
+    assert_eq!(target.state(4_500), TargetState::Draining);
+}
+
 #[test]
 fn draining_is_final() {
     let mut target = target();
@@ -146,7 +200,9 @@
     let mut target = target();
     assert_eq!(target.state(4 * HEARTBEAT_MS), TargetState::Ready);
     assert_eq!(target.state(4 * HEARTBEAT_MS + 1), TargetState::Lapsed);
-    target.note_response(4 * HEARTBEAT_MS);
+    target.note_response("i-0", 4 * HEARTBEAT_MS);
+    assert_eq!(target.state(4 * HEARTBEAT_MS + 1), TargetState::Lapsed, "of an earlier target");
+    target.note_response("i-1", 4 * HEARTBEAT_MS);
     assert_eq!(
         target.state(4 * HEARTBEAT_MS + 1),
         TargetState::Ready,
@@ -157,7 +213,9 @@
 #[test]
 fn unreachable_until_heartbeat() {
     let mut target = target();
-    target.mark_unreachable();
+    target.mark_unreachable("i-0");
+    assert_eq!(target.state(0), TargetState::Ready, "a late request for an earlier target");
+    target.mark_unreachable("i-1");
     assert_eq!(target.state(0), TargetState::Lapsed);
     assert_eq!(
         target.apply(heartbeat("i-1", 100, 6, TargetState::Ready), 10),
@@ -187,7 +245,7 @@
 fn heartbeat_while_store_unavailable() {
     let mut target = LocalTarget::new(HEARTBEAT_MS);
     target.apply(heartbeat("i-1", 100, 5, TargetState::Ready), 9_900);
-    target.note_response(10_100);
+    target.note_response("i-1", 10_100);
     assert_eq!(target.state(10_100), TargetState::Starting);
     target.apply(heartbeat("i-1", 100, 6, TargetState::Ready), 11_400);
     assert_eq!(target.state(11_400), TargetState::Ready);
--- a/crates/daemon/src/mesh/forward.rs
+++ b/crates/daemon/src/mesh/forward.rs
@@ -34,7 +34,8 @@
 /// Forwards a request to the local target. The result code of an error tells whether the request
 /// may have run.
 pub async fn forward(mesh: &Rc<Mesh>, inbound: &InboundRequest, deadline_ms: u64) -> ForwardResult {
-    let mut connection = connect(mesh).await?;
+    let target_id = &inbound.request.instance;
+    let mut connection = connect(mesh, target_id).await?;
     let now_ms = mesh.now_ms();
     let left_ms = deadline_ms.saturating_sub(now_ms);
     let target_left_ms = mesh.target_deadline_ms(deadline_ms).saturating_sub(now_ms);
@@ -48,7 +49,7 @@
     let exchange = connection.exchange(&request, BODY_BYTES_MAX, is_mismatched);
     match within_ms(left_ms, exchange).await {
         None => Err((ResultCode::DeadlineAfterRun, true)),
-        Some(Ok(response)) => accept_response(mesh, &request_id, connection, response),
+        Some(Ok(response)) => accept_response(mesh, inbound, connection, response),
         Some(Err(ExchangeError::NoResponse(MessageError::Closed | MessageError::Io(_)))) => {
             Err((ResultCode::AnswerLost, true))
         }
@@ -59,14 +60,15 @@
 /// Checks a response, and pools the connection if it can carry another request.
 fn accept_response(
     mesh: &Rc<Mesh>,
-    request_id: &str,
+    inbound: &InboundRequest,
     connection: Connection,
     response: Response<Bytes>,
 ) -> ForwardResult {
-    let target_headers = headers::target_headers(response.headers(), request_id);
+    let request_id = request_id(&inbound.request);
+    let target_headers = headers::target_headers(response.headers(), &request_id);
     if response.status() == StatusCode::MISDIRECTED_REQUEST {
         // Another target answered at the address.
-        mesh.local_target.borrow_mut().mark_unreachable();
+        mesh.local_target.borrow_mut().mark_unreachable(&inbound.request.instance);
         return Err((ResultCode::WrongInstance, true));
     }
     // Any other response without the target's signature says nothing about the request, whatever its
@@ -94,7 +96,7 @@
 }
 
 /// Returns a pooled connection that is still usable, or opens a new one.
-async fn connect(mesh: &Rc<Mesh>) -> Result<Connection, (ResultCode, bool)> {
+async fn connect(mesh: &Rc<Mesh>, target_id: &str) -> Result<Connection, (ResultCode, bool)> {
     let now_ms = mesh.now_ms();
     loop {
         let Some(idle) = mesh.inbound.take_idle() else { break };
@@ -109,7 +111,7 @@
     }
     connected.map_err(|error| {
         log_event(Event::TargetUnreachable, &format!("reason={error}"));
-        mesh.local_target.borrow_mut().mark_unreachable();
+        mesh.local_target.borrow_mut().mark_unreachable(target_id);
         mesh.publish_target_change();
         (ResultCode::TargetUnreachable, false)
     })
--- a/crates/daemon/src/mesh/inbound.rs
+++ b/crates/daemon/src/mesh/inbound.rs
@@ -345,7 +345,8 @@
     mesh.inbound.state.borrow_mut().record_result(has_failed, now_ms);
     match result {
         Ok(http_response) => {
-            mesh.local_target.borrow_mut().note_response(now_ms);
+            let target_id = &inbound.request.instance;
+            mesh.local_target.borrow_mut().note_response(target_id, now_ms);
             let response = CallResponse {
                 code: ResultCode::Answered,
                 http_status: http_response.status().as_u16(),
