Heartbeats: a drained target stays drained whatever its earlier starts send

Cause: 'draining' was recorded for peers and in the store, but not in LocalTarget, which decides on the current start. After two silent intervals a late heartbeat of an earlier start with the same id replaced the drained one.

LocalTarget now records 'draining' as it records a leave. On the code before, late_heartbeat_after_drain and drain_of_earlier_start fail.

--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -154,7 +154,10 @@
 
     /// Applies a heartbeat unless it is stale.
     pub fn apply(&mut self, heartbeat: Heartbeat, now_ms: u64) -> HeartbeatEffect {
-        if self.departed.has_departed(&heartbeat.start(), now_ms) {
+        if heartbeat.state == TargetState::Draining {
+            // It does not become ready again, as after a leave, whatever replaces it.
+            self.departed.insert(heartbeat.start(), now_ms);
+        } else if self.departed.has_departed(&heartbeat.start(), now_ms) {
             return HeartbeatEffect::Stale;
         }
         let Some(current) = &mut self.current else {
--- a/crates/core/tests/mesh_heartbeats.rs
+++ b/crates/core/tests/mesh_heartbeats.rs
@@ -141,6 +141,31 @@
     assert_eq!(target.state(4_500), TargetState::Draining);
 }
 
+/// A late heartbeat of an earlier start with the same id brought a drained target back that was silent
+/// for two intervals.
+#[test]
+fn late_heartbeat_after_drain() {
+    let mut target = target();
+    target.apply(heartbeat("i-1", 100, 6, TargetState::Draining), 10);
+    let late = heartbeat("i-1", 50, 900, TargetState::Ready);
+    assert_eq!(target.apply(late, 3 * HEARTBEAT_MS), HeartbeatEffect::Stale);
+    assert_eq!(target.state(3 * HEARTBEAT_MS), TargetState::Draining);
+}
+
+/// Guards against a start that reports `draining` while another is the current one, and is ready again
+/// when that one has gone silent.
+#[test]
+fn drain_of_earlier_start() {
+    let mut target = target();
+    target.apply(heartbeat("i-1", 900, 1, TargetState::Ready), 10);
+    target.apply(heartbeat("i-1", 100, 7, TargetState::Draining), 20);
+    assert_eq!(target.state(20), TargetState::Ready, "the other start is the current one");
+    let late = heartbeat("i-1", 100, 6, TargetState::Ready);
+    assert_eq!(target.apply(late, 3 * HEARTBEAT_MS), HeartbeatEffect::Stale);
+    target.apply(heartbeat("i-1", 100, 8, TargetState::Draining), 3 * HEARTBEAT_MS);
+    assert_eq!(target.state(3 * HEARTBEAT_MS), TargetState::Draining);
+}
+
 #[test]
 fn draining_is_final() {
     let mut target = target();
