Departed targets: reports between daemons do not renew them

A target that starts again under its id with a lower start time could stay out of use for good while links were opened within each minute, and the reports of departed targets grew.

Cause: a report carried no age, and the receiver kept each entry for a minute from then and reported it in turn. Expired entries were reported too.

Reports now state the time left, and no daemon keeps an entry for longer. With the renewal back in place, reports_do_not_renew fails.

--- a/crates/core/src/mesh/departures.rs
+++ b/crates/core/src/mesh/departures.rs
@@ -75,7 +75,8 @@
     /// The next call to the store, if one is necessary. `newest_era` is the newest known era of the
     /// store: in a new one it may have lost the record.
     pub fn next_call(&mut self, newest_era: Option<u64>, now_ms: u64) -> Option<DepartureCall> {
-        let starts: BTreeSet<_> = self.departed.current_starts(now_ms).cloned().collect();
+        let starts: BTreeSet<_> =
+            self.departed.current(now_ms).map(|departed| departed.start).collect();
         // Creating an absent record does no harm if there is one.
         if self.era < newest_era && !matches!(self.stored, Stored::Absent) {
             self.stored = Stored::Unknown;
--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -44,11 +44,27 @@
     expires_ms: BTreeMap<TargetStart, u64>,
 }
 
+/// A target that has left, as a daemon reports it to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DepartedTarget {
+    pub start: TargetStart,
+    /// How much longer it is remembered, in milliseconds. Daemons report what others have reported to
+    /// them, so that with a new time for each report it would never be forgotten.
+    pub left_ms: u64,
+}
+
 impl DepartedTargets {
     /// Records that this start of a target has left, and thereby every earlier one.
     pub fn insert(&mut self, start: TargetStart, now_ms: u64) {
+        self.insert_reported(DepartedTarget { start, left_ms: DEPARTED_KEPT_MS }, now_ms);
+    }
+
+    /// Records a target that has left according to another daemon.
+    pub fn insert_reported(&mut self, departed: DepartedTarget, now_ms: u64) {
         self.expires_ms.retain(|_, expires_ms| now_ms < *expires_ms);
-        self.expires_ms.insert(start, now_ms + DEPARTED_KEPT_MS);
+        let reported_ms = now_ms + departed.left_ms.min(DEPARTED_KEPT_MS);
+        let expires_ms = self.expires_ms.entry(departed.start).or_default();
+        *expires_ms = reported_ms.max(*expires_ms);
     }
 
     /// Whether this start of a target, or a later one with the same id, has left.
@@ -58,16 +74,14 @@
         later.into_iter().any(|(_, expires_ms)| now_ms < *expires_ms)
     }
 
-    pub fn starts(&self) -> impl Iterator<Item = &TargetStart> {
-        self.expires_ms.keys()
-    }
-
-    /// The starts that may not be forgotten yet.
-    pub fn current_starts(&self, now_ms: u64) -> impl Iterator<Item = &TargetStart> {
+    /// The targets that may not be forgotten yet.
+    pub fn current(&self, now_ms: u64) -> impl Iterator<Item = DepartedTarget> {
+        let left = move |expires_ms: u64| expires_ms.saturating_sub(now_ms);
         self.expires_ms
             .iter()
-            .filter(move |(_, expires_ms)| now_ms < **expires_ms)
-            .map(|(start, _)| start)
+            .map(move |(start, expires_ms)| (start, left(*expires_ms)))
+            .filter(|(_, left_ms)| *left_ms > 0)
+            .map(|(start, left_ms)| DepartedTarget { start: start.clone(), left_ms })
     }
 }
 
@@ -197,8 +211,13 @@
     /// Records that a target has left, even if it never sent a heartbeat to this daemon. Returns
     /// whether this call made the current target departed.
     pub fn apply_leave(&mut self, start: TargetStart, now_ms: u64) -> bool {
+        self.apply_reported_leave(DepartedTarget { start, left_ms: DEPARTED_KEPT_MS }, now_ms)
+    }
+
+    /// Like [`Self::apply_leave`], for a target that has left according to another daemon.
+    pub fn apply_reported_leave(&mut self, departed: DepartedTarget, now_ms: u64) -> bool {
         let was_departed = self.has_departed(now_ms);
-        self.departed.insert(start, now_ms);
+        self.departed.insert_reported(departed, now_ms);
         !was_departed && self.has_departed(now_ms)
     }
 
--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -6,7 +6,7 @@
 
 use crate::call::{CallRequest, CallResponse};
 use crate::code::ResultCode;
-use crate::mesh::heartbeat::TargetStart;
+use crate::mesh::heartbeat::{DepartedTarget, TargetStart};
 use crate::mesh::quota::{CreditGrant, CreditRequest, LoanMessage};
 use crate::mesh::state::{ConfigState, DaemonRecord, DaemonState, TargetLoad};
 use bytes::Bytes;
@@ -34,7 +34,7 @@
         known_count: u32,
         state: DaemonState,
         /// Targets that left recently, which a daemon that has restarted does not know.
-        departed: Vec<TargetStart>,
+        departed: Vec<DepartedTarget>,
     },
     /// Requests the daemons that the accepting daemon knows.
     DaemonsRequest,
--- a/crates/core/src/mesh/peers.rs
+++ b/crates/core/src/mesh/peers.rs
@@ -3,7 +3,7 @@
 use crate::digest::record_hash;
 use crate::endpoint::TargetState;
 use crate::mesh::dissemination::{Distance, Position};
-use crate::mesh::heartbeat::{DepartedTargets, TargetStart};
+use crate::mesh::heartbeat::{DepartedTarget, DepartedTargets, TargetStart};
 use crate::mesh::state::{ConfigState, DaemonRecord, DaemonState, TargetLoad, TargetSummary};
 use crate::mesh::topology;
 use std::collections::{BTreeMap, BTreeSet};
@@ -153,9 +153,14 @@
         self.departed.insert(start, now_ms);
     }
 
+    /// Records a target that has left according to a peer.
+    pub fn add_reported_departed(&mut self, departed: DepartedTarget, now_ms: u64) {
+        self.departed.insert_reported(departed, now_ms);
+    }
+
     /// The targets that left recently.
-    pub fn departed(&self) -> Vec<TargetStart> {
-        self.departed.starts().cloned().collect()
+    pub fn departed(&self, now_ms: u64) -> Vec<DepartedTarget> {
+        self.departed.current(now_ms).collect()
     }
 
     /// The target of a peer, if the peer reported it as ready a short time ago. Tells the peer, if it has
--- a/crates/core/tests/departures.rs
+++ b/crates/core/tests/departures.rs
@@ -3,7 +3,7 @@
 use pomeloreach_core::mesh::departures::{
     DepartureCall, DepartureLog, DepartureRecord, DepartureSweep,
 };
-use pomeloreach_core::mesh::heartbeat::{DEPARTED_KEPT_MS, TargetStart};
+use pomeloreach_core::mesh::heartbeat::{DEPARTED_KEPT_MS, DepartedTargets, TargetStart};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -120,3 +120,22 @@
     assert!(sweep.observe(Some(2), records(9), 4 * DEPARTED_KEPT_MS).is_empty(), "a new era");
     assert_eq!(sweep.observe(Some(2), records(9), 5 * DEPARTED_KEPT_MS).len(), 2);
 }
+
+/// Two daemons that reported a departed target to each other within each minute never forgot it.
+#[test]
+fn reports_do_not_renew() {
+    let mut daemons = [DepartedTargets::default(), DepartedTargets::default()];
+    daemons[0].insert(start("i-1", 100), 0);
+    for now_ms in (0..=DEPARTED_KEPT_MS).step_by(10_000) {
+        let reporter = (now_ms / 10_000 % 2) as usize;
+        let reported: Vec<_> = daemons[reporter].current(now_ms).collect();
+        for departed in reported {
+            daemons[1 - reporter].insert_reported(departed, now_ms);
+        }
+        let is_kept = now_ms < DEPARTED_KEPT_MS;
+        for daemon in &daemons {
+            assert_eq!(daemon.has_departed(&start("i-1", 100), now_ms), is_kept, "{now_ms} ms");
+        }
+    }
+    assert_eq!(daemons[0].current(DEPARTED_KEPT_MS).count(), 0, "expired ones are not reported");
+}
--- a/crates/daemon/src/mesh/incoming_links.rs
+++ b/crates/daemon/src/mesh/incoming_links.rs
@@ -59,7 +59,7 @@
     let (name, region, zone) = (sender.name.clone(), sender.region.clone(), sender.zone.clone());
     let (frames, queued) = FrameSender::new(mesh.memory.clone());
     let known_count = daemon_count(mesh);
-    let departed = mesh.peers.borrow().departed();
+    let departed = mesh.peers.borrow().departed(mesh.now_ms());
     if let Some(start) = recent_target {
         mesh.local_target.borrow_mut().set_recent(start);
     }
--- a/crates/daemon/src/mesh/outgoing_links.rs
+++ b/crates/daemon/src/mesh/outgoing_links.rs
@@ -13,7 +13,7 @@
 use futures_lite::future::or;
 use pomeloreach_core::event::Event;
 use pomeloreach_core::mesh::dissemination::Distance;
-use pomeloreach_core::mesh::heartbeat::TargetStart;
+use pomeloreach_core::mesh::heartbeat::DepartedTarget;
 use pomeloreach_core::mesh::message::LinkMessage;
 use pomeloreach_core::mesh::quota::LoanMessage;
 use pomeloreach_core::mesh::state::{ConfigState, DaemonRecord};
@@ -146,14 +146,14 @@
 
 /// Adds the targets that have left according to a peer. After a restart of this daemon, they can
 /// include the local target.
-fn add_departed_targets(mesh: &Rc<Mesh>, departed: Vec<TargetStart>) {
+fn add_departed_targets(mesh: &Rc<Mesh>, reported: Vec<DepartedTarget>) {
     let now_ms = mesh.now_ms();
-    for start in departed {
-        if mesh.local_target.borrow_mut().apply_leave(start.clone(), now_ms) {
-            log_event(Event::TargetLeft, &format!("target={} source=peer", start.id));
+    for departed in reported {
+        if mesh.local_target.borrow_mut().apply_reported_leave(departed.clone(), now_ms) {
+            log_event(Event::TargetLeft, &format!("target={} source=peer", departed.start.id));
             mesh.publish_target_change();
         }
-        mesh.peers.borrow_mut().add_departed(start, now_ms);
+        mesh.peers.borrow_mut().add_reported_departed(departed, now_ms);
     }
 }
 
