Directory: a daemon restores its record after another writer changed it

Daemons that started later got a wrong address of a VM, or none, after another writer had replaced or removed the VM's record.

Cause: a daemon looked at its own record only at the start and in a new era of the store.

A change of the own record that this daemon did not make, or a list without it, now leads to the same check.

--- a/crates/core/src/mesh/own_record.rs
+++ b/crates/core/src/mesh/own_record.rs
@@ -1,7 +1,8 @@
 //! Decides when a daemon checks its own record in the store, and what it does then.
 //!
 //! A store that comes back from an earlier copy has lost the records that were written since then,
-//! and has records that were withdrawn. It is then in another era.
+//! and has records that were withdrawn. It is then in another era. Another writer can replace or remove
+//! the record at any time.
 
 use strum::Display;
 
@@ -10,6 +11,8 @@
 pub struct OwnRecord {
     /// The era in which the record was last known to be as it should; `None` before that.
     checked_era: Option<Option<u64>>,
+    /// Whether a change that this daemon did not make was seen since then.
+    is_changed: bool,
 }
 
 /// What a daemon does with its own record.
@@ -30,12 +33,18 @@
     /// stale.
     pub fn record_checked(&mut self, era: Option<u64>) {
         self.checked_era = Some(era);
+        self.is_changed = false;
     }
 
-    /// Whether the record must be checked, because the store is in a newer era than at the last
-    /// check.
+    /// Records that the record was removed, or is not as it should.
+    pub fn record_changed(&mut self) {
+        self.is_changed = true;
+    }
+
+    /// Whether the record must be checked, because it was changed or the store is in a newer era than
+    /// at the last check.
     pub fn must_check(&self, newest_era: Option<u64>) -> bool {
-        self.checked_era.is_some_and(|checked_era| checked_era < newest_era)
+        self.checked_era.is_some_and(|checked_era| self.is_changed || checked_era < newest_era)
     }
 }
 
--- a/crates/core/tests/own_record.rs
+++ b/crates/core/tests/own_record.rs
@@ -23,6 +23,18 @@
     assert!(record.is_announced() && !record.must_check(Some(2)) && record.must_check(Some(3)));
 }
 
+/// Another writer can replace the record in any era.
+#[test]
+fn changed_record_is_checked() {
+    let mut record = OwnRecord::default();
+    record.record_changed();
+    assert!(!record.must_check(Some(2)), "it is not announced yet");
+    record.record_checked(Some(2));
+    assert!(!record.must_check(Some(2)));
+    record.record_changed();
+    assert!(record.must_check(Some(2)));
+}
+
 #[yare::parameterized(
     kept = { true, true, RecordAction::Keep },
     lost = { false, true, RecordAction::Announce },
--- a/crates/daemon/src/mesh/discovery.rs
+++ b/crates/daemon/src/mesh/discovery.rs
@@ -12,7 +12,9 @@
 use pomeloreach_core::mesh::dissemination::{ConfigSource, Distance};
 use pomeloreach_core::mesh::own_record::{OwnRecord, RecordAction};
 use pomeloreach_core::mesh::state::DaemonRecord;
-use pomeloreach_platform::store::{DaemonList, StoreClient, StoreError};
+use pomeloreach_platform::store::{
+    DaemonChanges, DaemonList, StoreClient, StoreError, UndecodableRecord,
+};
 use pomeloreach_wire::clock::sleep_ms;
 use std::rc::Rc;
 
@@ -50,12 +52,16 @@
             retry_until_ok(&mesh, &store, || store.list_daemons(allow_stale, STORE_TIMEOUT_MS))
                 .await;
         let mut position = list.position;
+        let is_listed = list.records.iter().any(|record| is_own_record(&mesh, record));
         if !allow_stale {
             listed_era = Some(position.era);
-            if list.records.iter().any(|record| is_own_record(&mesh, record)) {
+            if is_listed {
                 own_record.record_checked(position.era);
             }
         }
+        if !is_listed {
+            own_record.record_changed();
+        }
         add_listed_daemons(&mesh, list);
         mesh.has_listed_daemons.set(true);
         if !own_record.is_announced() {
@@ -80,6 +86,9 @@
             match changes {
                 Ok(changes) => {
                     position = changes.list.position;
+                    if changes_own_record(&mesh, &changes) {
+                        own_record.record_changed();
+                    }
                     add_listed_daemons(&mesh, changes.list);
                     for name in changes.removed {
                         mesh.peers.borrow_mut().remove_unlinked(&name);
@@ -99,8 +108,17 @@
     own_record.record_checked(store.newest_era());
 }
 
-/// Reads the record of this daemon after the store came back from a copy, and writes or removes it
-/// if necessary.
+/// Whether changes leave the record of this daemon other than it wrote it.
+fn changes_own_record(mesh: &Mesh, changes: &DaemonChanges) -> bool {
+    let name = &*mesh.local.name;
+    let is_replaced = |record: &DaemonRecord| *record.name == *name && !is_own_record(mesh, record);
+    changes.list.records.iter().any(is_replaced)
+        || changes.list.undecodable.iter().any(|record| record.name == name)
+        || changes.removed.iter().any(|removed| removed == name)
+}
+
+/// Reads the record of this daemon after the store came back from a copy or another writer changed the
+/// record, and writes or removes it if necessary.
 async fn check_own_record(mesh: &Rc<Mesh>, store: &StoreClient, own_record: &mut OwnRecord) {
     let name = &mesh.local.name;
     let found = retry_until_ok(mesh, store, || store.find_daemon(name, STORE_TIMEOUT_MS)).await;
@@ -128,8 +146,8 @@
 }
 
 fn add_listed_daemons(mesh: &Rc<Mesh>, list: DaemonList) {
-    for reason in list.undecodable {
-        log_event(Event::InputRefused, &format!("call=directory reason={reason}"));
+    for UndecodableRecord { name, reason } in list.undecodable {
+        log_event(Event::InputRefused, &format!("call=directory reason={name}: {reason}"));
     }
     links::add_known_daemons(mesh, list.records);
 }
