--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -72,6 +72,35 @@
     CreditGrant(CreditGrant),
     /// Requests or grants loans between the keepers of two zones.
     Loan(LoanMessage),
+    /// Announces the result of a call whose body exceeds what was expected of it, and so what the daemon
+    /// that sent the call has reserved.
+    ResultOffer { call_id: u64, body_bytes: u64 },
+    /// Requests an announced result. The sender has room for it.
+    ResultRequest { call_id: u64 },
+}
+
+impl LinkMessage {
+    /// The body of a call or of its result, which is sent behind the message: it is neither copied into
+    /// it nor out of it.
+    pub fn body_mut(&mut self) -> Option<&mut Bytes> {
+        match self {
+            Self::Call(call) => Some(&mut call.request.body),
+            Self::CallResult(result) => Some(&mut result.response.body),
+            _ => None,
+        }
+    }
+
+    /// The number of bytes that follow a message as it was received; 0 if it contains its body.
+    pub fn following_bytes(&self) -> u64 {
+        let (body, body_bytes) = match self {
+            Self::Call(call) => (&call.request.body, call.request.request.body_bytes),
+            Self::CallResult(result) => {
+                (&result.response.body, result.response.response.body_bytes)
+            }
+            _ => return 0,
+        };
+        if body.is_empty() { body_bytes } else { 0 }
+    }
 }
 
 /// An inbound request that is sent over a link.
@@ -116,6 +145,8 @@
     pub wait_max_ms: Option<u32>,
     /// The client account of the caller; absent for requests without a key.
     pub account: Option<Arc<str>>,
+    /// The expected size of the response's body, for which the origin has reserved memory.
+    pub response_bytes: u32,
 }
 
 /// The result of a call.
--- a/crates/daemon/src/mesh/attempt.rs
+++ b/crates/daemon/src/mesh/attempt.rs
@@ -6,19 +6,21 @@
 use pomeloreach_core::code::ResultCode;
 use pomeloreach_core::event::Event;
 use pomeloreach_core::mesh::message::{InboundRequest, InboundResponse};
+use pomeloreach_wire::memory::Room;
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// Makes one attempt at the target of a peer, or at the local target if `peer` is `None`. Dropping
-/// the future cancels the attempt.
+/// Makes one attempt at the target of a peer, or at the local target if `peer` is `None`. `room` is for
+/// the response. Dropping the future cancels the attempt.
 pub async fn run(
     mesh: Rc<Mesh>,
     peer: Option<Arc<str>>,
     request: InboundRequest,
+    room: Room,
 ) -> InboundResponse {
     let response = match &peer {
-        None => run_locally(&mesh, request).await,
-        Some(peer) => run_at_peer(&mesh, peer, request).await,
+        None => run_locally(&mesh, request, room).await,
+        Some(peer) => run_at_peer(&mesh, peer, request, room).await,
     };
     if response.response.is_valid() {
         return response;
@@ -31,14 +33,19 @@
     InboundResponse::failed(ResultCode::AnswerCut, true)
 }
 
-async fn run_locally(mesh: &Rc<Mesh>, request: InboundRequest) -> InboundResponse {
-    let (response, _cancel_on_drop) = inbound::submit(mesh, request);
+async fn run_locally(mesh: &Rc<Mesh>, request: InboundRequest, room: Room) -> InboundResponse {
+    let (response, _cancel_on_drop) = inbound::submit(mesh, request, Some(room));
     let response = response.recv().await;
     response.unwrap_or_else(|_| InboundResponse::failed(ResultCode::AnswerLost, true))
 }
 
-async fn run_at_peer(mesh: &Rc<Mesh>, peer: &Arc<str>, request: InboundRequest) -> InboundResponse {
-    let Some(call) = peer_calls::send_call(mesh, peer, request) else {
+async fn run_at_peer(
+    mesh: &Rc<Mesh>,
+    peer: &Arc<str>,
+    request: InboundRequest,
+    room: Room,
+) -> InboundResponse {
+    let Some(call) = peer_calls::send_call(mesh, peer, request, room) else {
         return InboundResponse::failed(ResultCode::TargetUnreachable, false);
     };
     let mut outstanding = OutstandingCall::new(mesh, peer);
--- a/crates/daemon/src/mesh/callers.rs
+++ b/crates/daemon/src/mesh/callers.rs
@@ -114,6 +114,13 @@
         }
     }
 
+    fn expected_response_bytes(&self, head: &Request<()>) -> usize {
+        let Some(routes) = self.0.config.routes() else { return 0 };
+        let host = request::host(head.headers(), head.uri());
+        let route = routes.find(&host, head.uri().path(), head.method().as_str());
+        route.map_or(0, |route| request::expected_response_bytes(&self.0, route))
+    }
+
     fn unavailable(&self, head: Option<&Request<()>>) -> Option<Response<Bytes>> {
         request::refuse_without_config(&self.0, head.map(Request::headers))
     }
--- a/crates/daemon/src/mesh/config.rs
+++ b/crates/daemon/src/mesh/config.rs
@@ -219,6 +219,7 @@
     };
     mesh.round_robin.borrow_mut().retain(|name| published.routes.contains_key(name));
     mesh.typical_times.borrow_mut().retain(|name, _| published.routes.contains_key(name));
+    mesh.response_sizes.borrow_mut().retain(|name, _| published.routes.contains_key(name));
     let mut in_force = config.in_force.borrow_mut();
     let empty = PublishedConfig::default();
     let replaced = in_force.as_ref().map_or(&empty, |in_force| &in_force.published);
--- a/crates/daemon/src/mesh/forward.rs
+++ b/crates/daemon/src/mesh/forward.rs
@@ -14,6 +14,7 @@
 use pomeloreach_wire::clock::within_ms;
 use pomeloreach_wire::h1::client::{Connection, ExchangeError};
 use pomeloreach_wire::h1::{self, MessageError};
+use pomeloreach_wire::memory::Room;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -31,11 +32,17 @@
 /// The target's response, or a result code and whether the request reached the target.
 pub type ForwardResult = Result<Response<Bytes>, (ResultCode, bool)>;
 
-/// Forwards a request to the local target. The result code of an error tells whether the request
-/// may have run.
-pub async fn forward(mesh: &Rc<Mesh>, inbound: &InboundRequest, deadline_ms: u64) -> ForwardResult {
+/// Forwards a request to the local target. `room` is for the response. The result code of an error tells
+/// whether the request may have run.
+pub async fn forward(
+    mesh: &Rc<Mesh>,
+    inbound: &InboundRequest,
+    room: Room,
+    deadline_ms: u64,
+) -> ForwardResult {
     let target_id = &inbound.request.instance;
     let mut connection = connect(mesh, target_id).await?;
+    connection.set_room(mesh.memory.clone(), room);
     let now_ms = mesh.now_ms();
     let left_ms = deadline_ms.saturating_sub(now_ms);
     let target_left_ms = mesh.target_deadline_ms(deadline_ms).saturating_sub(now_ms);
@@ -105,10 +112,7 @@
         }
     }
     let addr = mesh.mesh_settings.borrow().target_addr;
-    let mut connected = Connection::open(addr, CONNECT_TIMEOUT_MS).await;
-    if let Ok(connection) = &mut connected {
-        connection.set_memory(mesh.memory.clone());
-    }
+    let connected = Connection::open(addr, CONNECT_TIMEOUT_MS).await;
     connected.map_err(|error| {
         log_event(Event::TargetUnreachable, &format!("reason={error}"));
         mesh.local_target.borrow_mut().mark_unreachable(target_id);
--- a/crates/daemon/src/mesh/inbound.rs
+++ b/crates/daemon/src/mesh/inbound.rs
@@ -15,6 +15,7 @@
 use pomeloreach_core::mesh::state::TargetLoad;
 use pomeloreach_wire::clock::sleep_ms;
 use pomeloreach_wire::h1::client::Connection;
+use pomeloreach_wire::memory::Room;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -202,10 +203,12 @@
     _guard: Sender<()>,
 }
 
-/// Starts handling a request. Returns the receiver of its response and a guard that cancels it.
+/// Starts handling a request. `room` is for its response; without one, memory is reserved before the
+/// request is forwarded. Returns the receiver of its response and a guard that cancels it.
 pub fn submit(
     mesh: &Rc<Mesh>,
     inbound: InboundRequest,
+    room: Option<Room>,
 ) -> (Receiver<InboundResponse>, CancelOnDrop) {
     let (guard, cancelled) = async_channel::bounded::<()>(1);
     let (response_sender, response) = async_channel::bounded(1);
@@ -214,7 +217,8 @@
         let forwarded = Cell::new(false);
         let is_idempotent = inbound.terms.is_idempotent;
         let request_id = request_id(&inbound.request);
-        let handling = async { Some(admit_and_forward(&task_mesh, inbound, &forwarded).await) };
+        let handling =
+            async { Some(admit_and_forward(&task_mesh, inbound, room, &forwarded).await) };
         let cancelling = async {
             cancelled.recv().await.ok();
             if forwarded.get() {
@@ -305,6 +309,7 @@
 async fn admit_and_forward(
     mesh: &Rc<Mesh>,
     inbound: InboundRequest,
+    room: Option<Room>,
     forwarded: &Cell<bool>,
 ) -> InboundResponse {
     let now_ms = mesh.now_ms();
@@ -326,9 +331,13 @@
         Ok(slot) => slot,
         Err(code) => return refuse(mesh, &inbound, code),
     };
+    let response_bytes = inbound.terms.response_bytes as usize;
+    let Some(room) = room.or_else(|| Room::try_reserve(&mesh.memory, response_bytes)) else {
+        return refuse(mesh, &inbound, ResultCode::MemoryFull);
+    };
     forwarded.set(true);
     mesh.metrics.observe_slot_wait(mesh.now_ms() - now_ms);
-    let result = forward(mesh, &inbound, deadline_ms).await;
+    let result = forward(mesh, &inbound, room, deadline_ms).await;
     let now_ms = mesh.now_ms();
     // A request that cannot be forwarded, such as one with an invalid header, is no failure of the
     // target.
--- a/crates/daemon/src/mesh/incoming_links.rs
+++ b/crates/daemon/src/mesh/incoming_links.rs
@@ -3,7 +3,7 @@
 use super::inbound::{self, CancelOnDrop};
 use super::links::{
     FrameSender, IncomingLink, LinkError, LinkReader, OPEN_TIMEOUT_MS, daemon_count, encode,
-    write_frames,
+    encode_with_body, write_frames,
 };
 use super::{Mesh, bodies, listener, quota};
 use crate::logging::log_event;
@@ -52,7 +52,7 @@
     // A failure is ignored: without this option, responses only take longer.
     stream.set_nodelay(true).ok();
     let mut reader = LinkReader::new(stream.clone());
-    let hello = reader.read(mesh, OPEN_TIMEOUT_MS).await?;
+    let hello = reader.read(mesh, OPEN_TIMEOUT_MS, |_, _| None).await?;
     let LinkMessage::Hello { sender, sent_ms, recent_target } = hello else {
         return Err(LinkError::UnexpectedMessage);
     };
@@ -91,7 +91,8 @@
     let running = Rc::new(RefCell::new(BTreeMap::new()));
     let result = async {
         loop {
-            let message = reader.read(mesh, INCOMING_SILENCE_MS_MAX).await?;
+            let charge = |_: &LinkMessage, bytes| mesh.memory.try_charge(bytes);
+            let message = reader.read(mesh, INCOMING_SILENCE_MS_MAX, charge).await?;
             if frames.is_closed() {
                 // The result of a call could not be sent any more.
                 continue;
@@ -121,6 +122,12 @@
                 LinkMessage::Cancel { call_id } => {
                     running.borrow_mut().remove(&call_id);
                 }
+                LinkMessage::ResultRequest { call_id } => {
+                    let offered = running.borrow_mut().remove(&call_id);
+                    if let Some(RunningCall::ResultOffered(result)) = offered {
+                        send_result(mesh, &frames, call_id, result.take());
+                    }
+                }
                 LinkMessage::ConfigRequest { held_version } => {
                     if let Some(delta) = mesh.config.delta_since(held_version) {
                         frames.send(encode(&LinkMessage::ConfigDelta { delta }));
@@ -150,23 +157,47 @@
     Offered(Sender<Bytes>),
     /// The request is at the inbound proxy.
     Submitted { _cancel: CancelOnDrop },
+    /// The result was announced, and is held until the peer requests it.
+    ResultOffered(OfferedResult),
+}
+
+/// A result that is held for a peer, counted until it is dropped.
+struct OfferedResult {
+    mesh: Rc<Mesh>,
+    response: Option<InboundResponse>,
+}
+
+impl OfferedResult {
+    fn new(mesh: &Rc<Mesh>, response: InboundResponse) -> Self {
+        let count = &mesh.links.offered_results;
+        count.set(count.get() + 1);
+        Self { mesh: mesh.clone(), response: Some(response) }
+    }
+
+    fn take(mut self) -> InboundResponse {
+        let lost = || InboundResponse::failed(ResultCode::AnswerLost, true);
+        self.response.take().unwrap_or_else(lost)
+    }
+}
+
+impl Drop for OfferedResult {
+    fn drop(&mut self) {
+        let count = &self.mesh.links.offered_results;
+        count.set(count.get() - 1);
+    }
 }
 
 type RunningCalls = Rc<RefCell<BTreeMap<u64, RunningCall>>>;
 
-/// Starts a call that came with its body, or refuses it if the memory budget has no room for the body.
+/// Starts a call that came with its body, or refuses it if the memory budget had no room for the body.
 fn serve_complete_call(
     mesh: &Rc<Mesh>,
     call_id: u64,
-    mut request: InboundRequest,
+    request: InboundRequest,
     running: &RunningCalls,
     frames: &FrameSender,
 ) {
-    let body = std::mem::take(&mut request.body);
-    if body.is_empty() {
-        serve_call(mesh, call_id, request, running, frames);
-    } else if let Some(charge) = mesh.memory.try_charge(body.len()) {
-        request.body = charge.attach(body);
+    if request.body.len() as u64 == request.request.body_bytes {
         serve_call(mesh, call_id, request, running, frames);
     } else {
         let response = inbound::refuse(mesh, &request, ResultCode::MemoryFull);
@@ -182,14 +213,24 @@
     running: &RunningCalls,
     frames: &FrameSender,
 ) {
-    let (response, cancel) = inbound::submit(mesh, request);
+    let room_bytes = u64::from(request.terms.response_bytes);
+    let (response, cancel) = inbound::submit(mesh, request, None);
     running.borrow_mut().insert(call_id, RunningCall::Submitted { _cancel: cancel });
     let (mesh, running, frames) = (mesh.clone(), running.clone(), frames.clone());
     mesh.clone().spawn(async move {
         let response = response.recv().await;
-        running.borrow_mut().remove(&call_id);
-        if let Ok(response) = response {
+        let is_awaited = running.borrow_mut().remove(&call_id).is_some();
+        let Ok(response) = response else { return };
+        let body_bytes = response.body.len() as u64;
+        if !is_awaited {
+            // The peer has cancelled the call.
+        } else if body_bytes <= room_bytes {
             send_result(&mesh, &frames, call_id, response);
+        } else if frames.send(encode(&LinkMessage::ResultOffer { call_id, body_bytes })) {
+            let offered = RunningCall::ResultOffered(OfferedResult::new(&mesh, response));
+            running.borrow_mut().insert(call_id, offered);
+        } else {
+            frames.close();
         }
     });
 }
@@ -228,7 +269,7 @@
 fn send_result(mesh: &Mesh, frames: &FrameSender, call_id: u64, response: InboundResponse) {
     let load = mesh.target_load();
     let message = LinkMessage::CallResult(CallResult { call_id, response, load });
-    let frame = encode(&message);
+    let frame = encode_with_body(message);
     mesh.outbound_bodies.record_sent(frame.len() as u64);
     if !frames.send(frame) {
         // Closing the link tells the peer that the response will not come.
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -17,7 +17,7 @@
 use pomeloreach_core::mesh::state::DaemonRecord;
 use pomeloreach_wire::clock::sleep_ms;
 use pomeloreach_wire::frame::{self, FrameError};
-use pomeloreach_wire::memory::Memory;
+use pomeloreach_wire::memory::{Charge, Memory};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::Shutdown;
@@ -30,6 +30,8 @@
 const QUEUED_FRAMES_MAX: usize = 512;
 /// Queued frames are joined into one write up to this size, in bytes; larger ones are not copied.
 const JOINED_BYTES_MAX: usize = 64 * 1024;
+/// Bodies up to this size are copied behind their message, in bytes.
+const COPIED_BODY_BYTES_MAX: usize = 16 * 1024;
 /// The size of a link's read buffer, in bytes. Larger reads bypass it.
 const READ_BUFFER_BYTES: usize = 2 * 1024;
 /// How long connecting, and then waiting for the first message of the peer, may each take, in
@@ -38,10 +40,30 @@
 /// How often a stopping daemon checks whether its links are closed, in milliseconds.
 const CLOSE_POLL_MS: u64 = 10;
 
+/// A message that is ready to be sent.
+pub struct Frame {
+    /// The encoded message, with a small body behind it.
+    bytes: Bytes,
+    /// A large body that follows the message.
+    body: Bytes,
+}
+
+impl Frame {
+    pub fn len(&self) -> usize {
+        self.bytes.len() + self.body.len()
+    }
+}
+
+impl From<Bytes> for Frame {
+    fn from(bytes: Bytes) -> Self {
+        Self { bytes, body: Bytes::new() }
+    }
+}
+
 /// The sending half of a link's queue of frames. The queue allocates memory only as it grows.
 #[derive(Clone)]
 pub struct FrameSender {
-    frames: Sender<Bytes>,
+    frames: Sender<Frame>,
     /// The budget that queued frames are charged to.
     memory: Arc<Memory>,
     unwritten_count: Rc<Cell<usize>>,
@@ -49,7 +71,7 @@
 
 /// The receiving half of a link's queue of frames.
 pub struct QueuedFrames {
-    frames: Receiver<Bytes>,
+    frames: Receiver<Frame>,
     /// The number of frames that are queued or being written.
     unwritten_count: Rc<Cell<usize>>,
 }
@@ -62,10 +84,13 @@
         (Self { frames: sender, memory, unwritten_count }, queued)
     }
 
-    /// Queues a frame. Returns false if the queue is closed or full.
-    pub fn send(&self, frame: Bytes) -> bool {
-        let is_queued = self.frames.len() < QUEUED_FRAMES_MAX
-            && self.frames.try_send(self.memory.charged(frame)).is_ok();
+    /// Queues a frame. Returns false if the queue is closed or full. The body of a frame is charged
+    /// already.
+    pub fn send(&self, frame: impl Into<Frame>) -> bool {
+        let Frame { bytes, body } = frame.into();
+        let frame = Frame { bytes: self.memory.charged(bytes), body };
+        let is_queued =
+            self.frames.len() < QUEUED_FRAMES_MAX && self.frames.try_send(frame).is_ok();
         self.unwritten_count.set(self.unwritten_count.get() + usize::from(is_queued));
         is_queued
     }
@@ -130,6 +155,8 @@
     /// When a peer first reported a newer version; `None` after a report of a version that is not
     /// newer.
     pub behind_since_ms: Cell<Option<u64>>,
+    /// The results that were announced to peers, and are held until they request them.
+    pub offered_results: Cell<usize>,
     /// Wakes [`super::report::run`] to send a report at once.
     pub report_requested: Notify,
 }
@@ -142,7 +169,8 @@
 
     /// Whether all results of peers' calls were written.
     pub fn are_results_written(&self) -> bool {
-        self.incoming.borrow().values().all(|link| link.frames.is_written())
+        self.offered_results.get() == 0
+            && self.incoming.borrow().values().all(|link| link.frames.is_written())
     }
 
     /// Closes the links that peers have opened so far, and waits until the peers have closed them too:
@@ -164,19 +192,29 @@
     }
 }
 
-/// Encodes a message as a frame, in an allocation that need not grow for its body.
+/// Encodes a message without a body, or with one that it contains.
 pub fn encode(message: &LinkMessage) -> Bytes {
     let body_bytes = match message {
-        LinkMessage::Call(call) | LinkMessage::CallOffer(call) => call.request.body.len(),
         LinkMessage::BodyPart { bytes, .. } | LinkMessage::ConfigDelta { delta: bytes } => {
             bytes.len()
         }
-        LinkMessage::CallResult(result) => result.response.body.len(),
         _ => 0,
     };
     Bytes::from(frame::encode_with(message, body_bytes))
 }
 
+/// Encodes a call or a result. Its body follows the message, and is copied only if it is small, so that
+/// both are sent in one write.
+pub fn encode_with_body(mut message: LinkMessage) -> Frame {
+    let body = message.body_mut().map(std::mem::take).unwrap_or_default();
+    if body.len() > COPIED_BODY_BYTES_MAX {
+        return Frame { bytes: encode(&message), body };
+    }
+    let mut bytes = frame::encode_with(&message, body.len());
+    bytes.extend_from_slice(&body);
+    Frame::from(Bytes::from(bytes))
+}
+
 /// The receiving half of a link.
 pub struct LinkReader {
     stream: BufReader<TcpStream>,
@@ -191,16 +229,32 @@
     }
 
     /// Reads the next message and counts it. The peer may be silent for `silence_max_ms` at most.
+    /// `charge` returns the memory for so many bytes that follow a message. Without any they are
+    /// discarded, and the message has no body.
     pub async fn read(
         &mut self,
         mesh: &Mesh,
         silence_max_ms: u64,
+        charge: impl FnOnce(&LinkMessage, usize) -> Option<Charge>,
     ) -> Result<LinkMessage, LinkError> {
-        let charge = |bytes| mesh.memory.charge(bytes);
-        let (message, bytes): (LinkMessage, usize) =
-            frame::read_charged(&mut self.stream, MESSAGE_BYTES_MAX, silence_max_ms, charge)
-                .await?;
-        let bytes = bytes as u64;
+        let charge_message = |bytes| mesh.memory.charge(bytes);
+        let stream = &mut self.stream;
+        let (mut message, message_bytes): (LinkMessage, usize) =
+            frame::read_charged(stream, MESSAGE_BYTES_MAX, silence_max_ms, charge_message).await?;
+        let following = frame::check_following(message.following_bytes(), MESSAGE_BYTES_MAX)?;
+        if following == 0 {
+            if let Some(body) = message.body_mut() {
+                *body = mesh.memory.charged(std::mem::take(body));
+            }
+        } else if let Some(charge) = charge(&message, following) {
+            let received = frame::read_following(stream, following, silence_max_ms).await?;
+            if let Some(body) = message.body_mut() {
+                *body = charge.attach(received);
+            }
+        } else {
+            frame::discard_following(stream, following, silence_max_ms).await?;
+        }
+        let bytes = (message_bytes + following) as u64;
         mesh.metrics.link_message_received((&message).into(), self.distance, bytes);
         if !matches!(message, LinkMessage::BodyPart { .. }) {
             mesh.bodies.record_received(bytes);
@@ -236,8 +290,10 @@
                 Err(_) => break,
             },
         };
-        let (bytes, count) = join_frames(first, &frames, &mut next);
-        if stream.write_all(&bytes).await.is_err() {
+        let (Frame { bytes, body }, count) = join_frames(first, &frames, &mut next);
+        let is_written =
+            stream.write_all(&bytes).await.is_ok() && stream.write_all(&body).await.is_ok();
+        if !is_written {
             shutdown = Shutdown::Both;
             break;
         }
@@ -249,9 +305,12 @@
     stream.shutdown(shutdown).ok();
 }
 
-/// Joins a frame with the small ones behind it. Returns the bytes to write and the number of frames.
-/// Sets `next` to a frame that is too large to be joined to those before it.
-fn join_frames(first: Bytes, frames: &Receiver<Bytes>, next: &mut Option<Bytes>) -> (Bytes, usize) {
+/// Joins a frame with the small ones behind it, unless a body follows it. Returns what to write and the
+/// number of frames. Sets `next` to a frame that cannot be joined to those before it.
+fn join_frames(first: Frame, frames: &Receiver<Frame>, next: &mut Option<Frame>) -> (Frame, usize) {
+    if !first.body.is_empty() {
+        return (first, 1);
+    }
     let mut joined = Vec::new();
     let mut count = 1;
     while let Ok(frame) = frames.try_recv() {
@@ -260,12 +319,13 @@
             break;
         }
         if joined.is_empty() {
-            joined.extend_from_slice(&first);
+            joined.extend_from_slice(&first.bytes);
         }
-        joined.extend_from_slice(&frame);
+        joined.extend_from_slice(&frame.bytes);
+        joined.extend_from_slice(&frame.body);
         count += 1;
     }
-    (if joined.is_empty() { first } else { joined.into() }, count)
+    (if joined.is_empty() { first } else { Bytes::from(joined).into() }, count)
 }
 
 /// Adds the daemons that a peer or the store has listed.
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -41,6 +41,7 @@
 use pomeloreach_core::event::Event;
 use pomeloreach_core::mesh::heartbeat::LocalTarget;
 use pomeloreach_core::mesh::peers::Peers;
+use pomeloreach_core::mesh::response_size::ExpectedSize;
 use pomeloreach_core::mesh::round_robin::WeightedRoundRobin;
 use pomeloreach_core::mesh::state::{
     ConfigState, DaemonRecord, DaemonState, TargetLoad, TargetSummary,
@@ -95,6 +96,8 @@
     pub retry_budgets: RefCell<BTreeMap<Arc<str>, RetryBudget>>,
     /// The typical times of each route, by the route's name.
     pub typical_times: RefCell<BTreeMap<Arc<str>, TypicalTimes>>,
+    /// The expected size of the responses of each route, by the route's name.
+    pub response_sizes: RefCell<BTreeMap<Arc<str>, ExpectedSize>>,
     rng: RefCell<ChaCha8Rng>,
     /// Set when the daemon is stopping, and reports that it is not ready.
     stop_schedule: Cell<Option<StopSchedule>>,
@@ -288,6 +291,7 @@
         round_robin: RefCell::new(WeightedRoundRobin::with_seed(local.start_id)),
         retry_budgets: RefCell::new(BTreeMap::new()),
         typical_times: RefCell::new(BTreeMap::new()),
+        response_sizes: RefCell::new(BTreeMap::new()),
         rng: RefCell::new(rng),
         stop_schedule: Cell::new(None),
         is_leaving: Cell::new(false),
--- a/crates/daemon/src/mesh/outgoing_links.rs
+++ b/crates/daemon/src/mesh/outgoing_links.rs
@@ -99,7 +99,7 @@
     // Closing the queue also ends the reading half: only links without calls are closed.
     mesh.spawn(write_frames(stream.clone(), queued, Shutdown::Both));
     let mut reader = LinkReader::new(stream);
-    let welcome = reader.read(mesh, OPEN_TIMEOUT_MS).await?;
+    let welcome = reader.read(mesh, OPEN_TIMEOUT_MS, |_, _| None).await?;
     let LinkMessage::Welcome { sender, known_count, state, departed } = welcome else {
         return Err(LinkError::UnexpectedMessage);
     };
@@ -128,7 +128,13 @@
     let peer = OutgoingPeer { name: &name, distance: reader.distance, pending: &pending };
     let receiving = async {
         loop {
-            let message = reader.read(mesh, silence_max_ms).await?;
+            let charge = |message: &LinkMessage, bytes| match message {
+                LinkMessage::CallResult(result) => {
+                    peer_calls::result_charge(&pending, result.call_id, bytes)
+                }
+                _ => None,
+            };
+            let message = reader.read(mesh, silence_max_ms, charge).await?;
             handle_message(mesh, &peer, &frames, message)?;
         }
     };
@@ -183,11 +189,14 @@
             mesh.peers.borrow_mut().apply_config(name, config, mesh.now_ms());
             handle_config_state(mesh, name, distance, config);
         }
-        LinkMessage::CallResult(mut result) => {
-            result.response.body = mesh.memory.charged(result.response.body);
+        LinkMessage::CallResult(result) => {
             mesh.peers.borrow_mut().apply_load(name, result.load, mesh.now_ms());
             peer_calls::handle_result(pending, result);
         }
+        LinkMessage::ResultOffer { call_id, body_bytes } => {
+            let (pending, frames) = (pending.clone(), frames.clone());
+            mesh.spawn(peer_calls::request_result(pending, frames, call_id, body_bytes));
+        }
         LinkMessage::BodyRequest { call_id, bytes } => {
             let (pending, frames) = (pending.clone(), frames.clone());
             mesh.outbound_bodies.queue(RequestedPart { pending, frames, call_id, bytes });
--- a/crates/daemon/src/mesh/peer_calls.rs
+++ b/crates/daemon/src/mesh/peer_calls.rs
@@ -1,13 +1,14 @@
 //! The calls of this daemon to the targets of peers.
 
 use super::Mesh;
-use super::links::{FrameSender, encode};
+use super::links::{FrameSender, encode, encode_with_body};
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use pomeloreach_core::mesh::message::{
     Call, CallResult, InboundRequest, InboundResponse, LinkMessage,
 };
-use pomeloreach_wire::clock::boot_ms;
+use pomeloreach_wire::clock::{boot_ms, sleep_ms};
+use pomeloreach_wire::memory::{Charge, Room};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -16,6 +17,8 @@
 /// A larger body is always offered, also on a link that is fast enough for it: a body that is sent whole
 /// is in memory once more, and is received before the peer can refuse it.
 const SENT_WHOLE_BYTES_MAX: usize = 1024 * 1024;
+/// How often a result that was announced is tried to find room, in milliseconds.
+const ROOM_POLL_MS: u64 = 5;
 
 /// The calls on a link that wait for their results, by call id.
 pub type PendingCalls = Rc<RefCell<BTreeMap<u64, WaitingCall>>>;
@@ -23,6 +26,8 @@
 /// A call that waits for its result.
 pub struct WaitingCall {
     result: Sender<CallResult>,
+    /// The memory for the result.
+    room: Room,
     /// The part of an offered body that was not sent yet.
     unsent_body: Bytes,
     /// The length of `unsent_body`, which the [`PendingCall`] reads after the link broke.
@@ -60,12 +65,13 @@
 }
 
 /// Sends a call to a peer, or offers it without its body if the body would occupy the link of the
-/// peer's VM for too long. Returns `None` if there is no link or its queue is full; nothing was sent
-/// then.
+/// peer's VM for too long. `room` is for the result. Returns `None` if there is no link or its queue is
+/// full; nothing was sent then.
 pub fn send_call(
     mesh: &Rc<Mesh>,
     peer: &Arc<str>,
     mut request: InboundRequest,
+    room: Room,
 ) -> Option<PendingCall> {
     let links = &mesh.links;
     let call_id = links.last_call_id.get() + 1;
@@ -83,10 +89,10 @@
     let pending = {
         let outgoing = links.outgoing.borrow();
         let link = outgoing.get(peer)?;
-        let waiting =
-            WaitingCall { result: result_sender, unsent_body, unsent_bytes: unsent_bytes.clone() };
+        let unsent_bytes = unsent_bytes.clone();
+        let waiting = WaitingCall { result: result_sender, room, unsent_body, unsent_bytes };
         link.pending.borrow_mut().insert(call_id, waiting);
-        let frame = encode(&message);
+        let frame = encode_with_body(message);
         mesh.outbound_bodies.record_sent(frame.len() as u64);
         if !link.frames.send(frame) {
             link.pending.borrow_mut().remove(&call_id);
@@ -107,6 +113,36 @@
     target.is_some_and(|target| target.load.must_offer(request.body.len() as u64))
 }
 
+/// The memory for a result that follows. `None` if the call has ended.
+pub fn result_charge(pending: &PendingCalls, call_id: u64, bytes: usize) -> Option<Charge> {
+    Some(pending.borrow().get(&call_id)?.room.take_now(bytes))
+}
+
+/// Requests an announced result once there is room for it. Cancels the call if it has ended meanwhile, so
+/// that the peer does not hold the result.
+pub async fn request_result(
+    pending: PendingCalls,
+    frames: FrameSender,
+    call_id: u64,
+    body_bytes: u64,
+) {
+    let bytes = usize::try_from(body_bytes).unwrap_or(usize::MAX);
+    loop {
+        let room = pending.borrow().get(&call_id).map(|waiting| waiting.room.clone());
+        let message = match room {
+            None => LinkMessage::Cancel { call_id },
+            Some(room) if room.try_extend(bytes) => LinkMessage::ResultRequest { call_id },
+            Some(_) => {
+                sleep_ms(ROOM_POLL_MS).await;
+                continue;
+            }
+        };
+        // A link whose queue is full or closed is ending, and the call with it.
+        frames.send(encode(&message));
+        return;
+    }
+}
+
 /// Hands the result of a call to the task that waits for it.
 pub fn handle_result(pending: &PendingCalls, result: CallResult) {
     let waiting = pending.borrow_mut().remove(&result.call_id);
--- a/crates/daemon/src/mesh/request.rs
+++ b/crates/daemon/src/mesh/request.rs
@@ -13,7 +13,7 @@
 use futures_lite::future::or;
 use http::header::HOST;
 use http::request::Parts;
-use http::{HeaderMap, Response};
+use http::{HeaderMap, Response, Uri};
 use pomeloreach_core::account_index::{AccountIndex, KeyProblem, MatchedAccount};
 use pomeloreach_core::call::CallRequest;
 use pomeloreach_core::code::ResultCode;
@@ -28,12 +28,16 @@
 use pomeloreach_core::mesh::typical_times::TypicalTimes;
 use pomeloreach_platform::headers;
 use pomeloreach_wire::clock::within_ms;
+use pomeloreach_wire::memory::Room;
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 
 /// The time after which a caller may retry if no target is known, in milliseconds.
 const NO_TARGET_RETRY_AFTER_MS: u64 = 300;
+/// A request waits for one part of this many of its time until there is room for its response: the
+/// target needs the rest.
+const ROOM_WAIT_DIVISOR: u64 = 2;
 
 /// A request in progress, and the state that its attempts share.
 struct ActiveRequest<'a> {
@@ -61,6 +65,10 @@
     last_target: Option<ChosenTarget>,
     /// The credit of the request; absent if it belongs to no account.
     permit: Option<QuotaPermit>,
+    /// The expected size of the response's body.
+    expected_bytes: usize,
+    /// The memory for the response of the first attempt, until that starts.
+    room: Option<Room>,
 }
 
 /// A chosen target, with the load that the choice was based on.
@@ -91,7 +99,8 @@
         return refuse(mesh, &caller.request_id, ResultCode::DaemonNotReady);
     };
     let path = head.uri.path();
-    let Some(route) = routes.find(&host(&head), path, head.method.as_str()) else {
+    let Some(route) = routes.find(&host(&head.headers, &head.uri), path, head.method.as_str())
+    else {
         let code = missing_route_code(mesh.config.version(), mesh.newest_known_version());
         return refuse(mesh, &caller.request_id, code);
     };
@@ -103,6 +112,11 @@
     let route_timeout_ms = u64::from(route.route.deadline_ms);
     let deadline_ms =
         arrived_ms + caller.timeout_ms.unwrap_or(route_timeout_ms).min(route_timeout_ms);
+    let expected_bytes = expected_response_bytes(mesh, route);
+    let room_wait_ms = deadline_ms.saturating_sub(mesh.now_ms()) / ROOM_WAIT_DIVISOR;
+    let Some(room) = Room::reserve(&mesh.memory, expected_bytes, room_wait_ms).await else {
+        return refuse_without_memory(mesh, Some(&head.headers));
+    };
     let permit = match &account {
         None => None,
         Some(account) => {
@@ -137,6 +151,8 @@
         retry_after_ms: 0,
         last_target: None,
         permit,
+        expected_bytes,
+        room: Some(room),
     };
     mesh.deposit_retry(&active.service);
     let result = active.run().await;
@@ -208,12 +224,17 @@
 }
 
 /// The host that a request names, in lower case and without the port.
-fn host(head: &Parts) -> String {
-    let header = head.headers.get(HOST).and_then(|value| value.to_str().ok());
-    let host = header.or_else(|| head.uri.host()).unwrap_or_default();
+pub fn host(headers: &HeaderMap, uri: &Uri) -> String {
+    let header = headers.get(HOST).and_then(|value| value.to_str().ok());
+    let host = header.or_else(|| uri.host()).unwrap_or_default();
     host.split(':').next().unwrap_or_default().to_ascii_lowercase()
 }
 
+/// How many bytes the body of the response to a request of this route is expected to have.
+pub fn expected_response_bytes(mesh: &Mesh, route: &MatchedRoute) -> usize {
+    mesh.response_sizes.borrow().get(&route.name).copied().unwrap_or_default().bytes()
+}
+
 /// The parts of a request that are the same for each attempt.
 fn call_request(
     mesh: &Mesh,
@@ -308,6 +329,9 @@
                 return Err(ResultCode::NoTarget);
             }
         };
+        let first_room = self.room.take();
+        let room = first_room.or_else(|| Room::try_reserve(&self.mesh.memory, self.expected_bytes));
+        let Some(room) = room else { return Err(ResultCode::MemoryFull) };
         let priority = self.route.route.priority;
         if self.attempts.is_retry() {
             // Each arrival at a target counts against the quota.
@@ -326,7 +350,7 @@
         let request = self.inbound_request(target_id, wait_max_ms, now_ms);
         let (mesh, result_sender) = (self.mesh.clone(), result_sender.clone());
         Ok(self.mesh.executor.spawn(async move {
-            let response = attempt::run(mesh, peer, request).await;
+            let response = attempt::run(mesh, peer, request, room).await;
             // The request may have ended.
             result_sender.try_send(response).ok();
         }))
@@ -379,6 +403,7 @@
             service_ms: self.typical_times().service_ms.map(|ms| ms as u32),
             wait_max_ms,
             account: self.account_name().cloned(),
+            response_bytes: u32::try_from(self.expected_bytes).unwrap_or(u32::MAX),
         };
         InboundRequest { request, terms, body: self.body.clone() }
     }
@@ -422,6 +447,10 @@
         self.retry_after_ms = self.retry_after_ms.max(inbound.retry_after_ms.into());
         let http_status = inbound.response.http_status;
         let reached_target = inbound.reached_target;
+        if code == ResultCode::Answered {
+            let sizes = &mut *self.mesh.response_sizes.borrow_mut();
+            sizes.entry(self.route.name.clone()).or_default().record(inbound.body.len());
+        }
         let response = TargetResponse { head: inbound.response, body: inbound.body };
         match self.attempts.finish(AttemptResult { code, http_status, reached_target }) {
             NextAction::Respond => return Some(Ok(response)),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -12,6 +12,9 @@
 /// The size of the length prefix: a little-endian `u32`.
 const LENGTH_PREFIX_BYTES: usize = 4;
 
+/// How many bytes are discarded at a time.
+const DISCARD_BYTES: usize = 16 * 1024;
+
 /// The first capacity of a frame, without a body.
 const HEAD_BYTES: usize = 64;
 
@@ -75,10 +78,43 @@
     Ok((message, LENGTH_PREFIX_BYTES + bytes))
 }
 
+/// Reads the `bytes` that follow a message into an allocation of their own. The sender may be silent for
+/// `silence_max_ms` at most.
+pub async fn read_following<R: AsyncRead + Unpin>(
+    reader: &mut R,
+    bytes: usize,
+    silence_max_ms: u64,
+) -> Result<Vec<u8>, FrameError> {
+    let mut following = vec![0; bytes];
+    read_without_silence(reader, &mut following, silence_max_ms).await?;
+    Ok(following)
+}
+
+/// Reads the `bytes` that follow a message and discards them.
+pub async fn discard_following<R: AsyncRead + Unpin>(
+    reader: &mut R,
+    bytes: usize,
+    silence_max_ms: u64,
+) -> Result<(), FrameError> {
+    let mut part = vec![0; bytes.min(DISCARD_BYTES)];
+    let mut left = bytes;
+    while left > 0 {
+        let length = left.min(part.len());
+        read_without_silence(reader, &mut part[..length], silence_max_ms).await?;
+        left -= length;
+    }
+    Ok(())
+}
+
+/// Checks the size of what follows a message.
+pub fn check_following(bytes: u64, bytes_max: usize) -> Result<usize, FrameError> {
+    let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+    if bytes > bytes_max { Err(FrameError::TooLong { bytes, bytes_max }) } else { Ok(bytes) }
+}
+
 /// The size of the payload that a length prefix announces.
 fn payload_bytes(prefix: [u8; LENGTH_PREFIX_BYTES], bytes_max: usize) -> Result<usize, FrameError> {
-    let bytes = u32::from_le_bytes(prefix) as usize;
-    if bytes > bytes_max { Err(FrameError::TooLong { bytes, bytes_max }) } else { Ok(bytes) }
+    check_following(u32::from_le_bytes(prefix).into(), bytes_max)
 }
 
 /// Fills a buffer. Fails if the stream ends before, or sends nothing for `silence_max_ms`.
--- a/crates/wire/src/h1/activity.rs
+++ b/crates/wire/src/h1/activity.rs
@@ -18,6 +18,8 @@
     sending_ms: Cell<Option<u64>>,
     /// The bytes of responses that are complete and not sent yet.
     queued_bytes: Cell<usize>,
+    /// The bytes that are expected of responses that are not complete.
+    expected_bytes: Cell<usize>,
 }
 
 impl Default for ConnectionActivity {
@@ -37,6 +39,7 @@
             last_sent_ms: Cell::new(clock.now_ms()),
             sending_ms: Cell::new(None),
             queued_bytes: Cell::new(0),
+            expected_bytes: Cell::new(0),
         }
     }
 
@@ -67,10 +70,21 @@
         self.in_flight.set(self.in_flight.get() + 1);
     }
 
-    pub(super) fn response_complete(&self, bytes: usize) {
+    pub(super) fn response_expected(&self, expected_bytes: usize) {
+        self.expected_bytes.set(self.expected_bytes.get() + expected_bytes);
+    }
+
+    /// A response is complete of which `expected_bytes` were expected.
+    pub(super) fn response_complete(&self, expected_bytes: usize, bytes: usize) {
+        self.expected_bytes.set(self.expected_bytes.get().saturating_sub(expected_bytes));
         self.queued_bytes.set(self.queued_bytes.get() + bytes);
     }
 
+    /// The bytes of all responses that are not sent yet, as far as they are known or expected.
+    pub(super) fn outstanding_bytes(&self) -> usize {
+        self.queued_bytes.get() + self.expected_bytes.get()
+    }
+
     pub(super) fn sending(&self) {
         self.sending_ms.set(Some(self.clock.now_ms()));
     }
--- a/crates/wire/src/h1/client.rs
+++ b/crates/wire/src/h1/client.rs
@@ -1,9 +1,10 @@
 //! A persistent connection to a server, which carries one request at a time.
 
+use super::body::BodyOwner;
 use super::reader::{Framing, MessageError, Reader, declared_framing, malformed};
 use super::{EncodedMessage, connection_lists, encode_headers};
 use crate::clock::{Clock, within_ms};
-use crate::memory::Memory;
+use crate::memory::{Memory, Room};
 use async_net::TcpStream;
 use bytes::Bytes;
 use futures_lite::AsyncWriteExt;
@@ -62,6 +63,8 @@
     body_ms: u64,
     /// The budget that the bodies of responses are charged to.
     memory: Arc<Memory>,
+    /// The memory that is reserved for the next response.
+    room: Room,
 }
 
 impl Connection {
@@ -82,12 +85,16 @@
     /// Uses a connection that is open already.
     pub fn new(stream: TcpStream) -> Self {
         let reader = Reader::new(stream.clone());
-        Self { stream, reader, must_close: false, body_ms: 0, memory: Memory::unlimited() }
+        let memory = Memory::unlimited();
+        let room = Room::empty(&memory);
+        Self { stream, reader, must_close: false, body_ms: 0, memory, room }
     }
 
-    /// Charges the bodies of later responses to `memory`.
-    pub fn set_memory(&mut self, memory: Arc<Memory>) {
+    /// Charges the body of the next response to `memory`, of which `room` is reserved for it. What it
+    /// needs beyond that stays unread until there is room.
+    pub fn set_room(&mut self, memory: Arc<Memory>, room: Room) {
         self.memory = memory;
+        self.room = room;
     }
 
     /// Whether another request can be sent: the server has neither closed the connection nor sent
@@ -150,7 +157,10 @@
             pending().await
         };
         let reader = &mut self.reader;
-        let limits = ResponseLimits { timeouts, body_bytes_max, memory: &self.memory };
+        // The connection may stay open after the response, and must not keep its room.
+        let memory = &self.memory;
+        let room = std::mem::replace(&mut self.room, Room::empty(memory));
+        let limits = ResponseLimits { timeouts, body_bytes_max, memory, room: &room };
         let reading = read_response(reader, limits, request.method(), is_mismatched);
         let ReadResponse { response, framing, is_keep_alive, body_ms } =
             or(reading, writing).await?;
@@ -174,6 +184,7 @@
     timeouts: Option<ResponseTimeouts>,
     body_bytes_max: usize,
     memory: &'a Arc<Memory>,
+    room: &'a Room,
 }
 
 /// A response that was read to its end.
@@ -193,7 +204,7 @@
     method: &Method,
     is_mismatched: impl Fn(&HeaderMap) -> bool,
 ) -> Result<ReadResponse, ExchangeError> {
-    let ResponseLimits { timeouts, body_bytes_max, memory } = limits;
+    let ResponseLimits { timeouts, body_bytes_max, memory, room } = limits;
     for _ in 0..=SKIPPED_MAX {
         reader.set_silence_max_ms(None);
         let reading_head = reader.read_response_head(HEAD_BYTES_MAX);
@@ -219,7 +230,8 @@
             None => Framing::UntilClose,
         };
         let body_clock = Clock::default();
-        let body = reader.read_body(framing, body_bytes_max, memory, None).await?;
+        let body =
+            reader.read_body(framing, body_bytes_max, memory, BodyOwner::Response(room)).await?;
         if is_mismatched(head.headers()) {
             continue;
         }
--- a/crates/wire/src/h1/reader.rs
+++ b/crates/wire/src/h1/reader.rs
@@ -1,8 +1,8 @@
 //! Reads complete HTTP/1.1 messages from a connection.
 
-use super::body::BodyBuffer;
+use super::body::{BodyBuffer, BodyOwner};
 use crate::clock::{Clock, within_ms};
-use crate::memory::{Hold, Memory};
+use crate::memory::Memory;
 use async_net::TcpStream;
 use bytes::{Buf, Bytes, BytesMut};
 use futures_lite::AsyncReadExt;
@@ -223,27 +223,27 @@
         Ok(Some(response))
     }
 
-    /// Reads a complete body, and charges it to `memory`. The reader keeps no memory of it. With a
-    /// `hold`, the body belongs to a request that is refused if the budget has no room for it.
+    /// Reads a complete body, and charges it to `memory`. The reader keeps no memory of it. The body of
+    /// a response stays with the system until there is room for it.
     pub async fn read_body(
         &mut self,
         framing: Framing,
         bytes_max: usize,
         memory: &Arc<Memory>,
-        hold: Option<&Hold>,
+        owner: BodyOwner<'_>,
     ) -> Result<Bytes, MessageError> {
-        let mut body = BodyBuffer::new(memory, hold, bytes_max);
+        let mut body = BodyBuffer::new(memory, owner, bytes_max);
         match framing {
             Framing::Length(0) => return Ok(Bytes::new()),
             Framing::Length(length) if length > bytes_max => {
                 return Err(MessageError::BodyTooLarge(bytes_max));
             }
             Framing::Length(length) => {
-                body.reserve_length(length)?;
+                body.reserve(length).await?;
                 self.read_into(&mut body, length).await?;
             }
             Framing::UntilClose => loop {
-                self.move_into(&mut body, usize::MAX)?;
+                self.move_into(&mut body, usize::MAX).await?;
                 if !self.fill().await? {
                     break;
                 }
@@ -255,13 +255,13 @@
     }
 
     /// Moves up to `bytes_max` bytes that were not parsed yet to a body. Returns their number.
-    fn move_into(
+    async fn move_into(
         &mut self,
         body: &mut BodyBuffer<'_>,
         bytes_max: usize,
     ) -> Result<usize, MessageError> {
         let bytes = self.buffer.len().min(bytes_max);
-        body.extend(&self.buffer[..bytes])?;
+        body.extend(&self.buffer[..bytes]).await?;
         self.buffer.advance(bytes);
         Ok(bytes)
     }
@@ -272,10 +272,10 @@
         body: &mut BodyBuffer<'_>,
         bytes: usize,
     ) -> Result<(), MessageError> {
-        let mut left = bytes - self.move_into(body, bytes)?;
+        let mut left = bytes - self.move_into(body, bytes).await?;
         while left > 0 {
             self.fill_or_truncated().await?;
-            left -= self.move_into(body, left)?;
+            left -= self.move_into(body, left).await?;
         }
         Ok(())
     }
--- a/crates/wire/src/h1/responses.rs
+++ b/crates/wire/src/h1/responses.rs
@@ -29,12 +29,12 @@
 }
 
 impl UnsentResponses {
-    /// Records that a response is complete.
-    pub fn add(&self, bytes: usize) {
+    /// Records that a response is complete of which `expected_bytes` were expected.
+    pub fn add(&self, expected_bytes: usize, bytes: usize) {
         if self.activity.queued_bytes() == 0 {
             self.hold.record_progress();
         }
-        self.activity.response_complete(bytes);
+        self.activity.response_complete(expected_bytes, bytes);
         self.hold.set_bytes(self.activity.queued_bytes());
     }
 
--- a/crates/wire/src/h1/server.rs
+++ b/crates/wire/src/h1/server.rs
@@ -1,6 +1,7 @@
 //! Serves a client's connection, including pipelined requests.
 
 use super::activity::ConnectionActivity;
+use super::body::BodyOwner;
 use super::connection_lists;
 use super::ending::ConnectionEnding;
 use super::reader::{Framing, MessageError, Reader, declared_framing};
@@ -30,6 +31,12 @@
 /// No further request is read from a connection while so many bytes of complete responses wait to be
 /// sent on it.
 const UNREAD_BYTES_MAX: usize = 256 * 1024;
+/// While other requests of a connection are in progress, no further one starts on it whose response would
+/// raise the bytes that are expected or wait to be sent above this, or above one part of
+/// `RESPONSES_DIVISOR` of the budget: so that the first requests on a connection do not all ask for
+/// large responses before the first one is complete.
+const RESPONSES_BYTES_MAX: usize = 2 * 1024 * 1024;
+const RESPONSES_DIVISOR: usize = 16;
 /// How many bytes are read behind a request that waits for earlier responses. Reading notices a
 /// disconnect.
 const READ_AHEAD_BYTES_MAX: usize = 64 * 1024;
@@ -215,6 +222,8 @@
             Ok(framing) => framing.unwrap_or(Framing::Length(0)),
             Err(error) => return Err(stop_reason(&error)),
         };
+        let expected_bytes = self.service.expected_response_bytes(&head);
+        self.wait_for_responses_room(expected_bytes).await;
         let request_bytes = REQUEST_BYTES + HEAD_COPIES * head_bytes;
         let hold = self.memory.hold(HolderKind::Request);
         let Some(charge) = self.charge_request(&hold, request_bytes).await else {
@@ -230,7 +239,8 @@
         }
         let body = {
             let bytes_max = limits.body_bytes_max;
-            let reading = self.reader.read_body(framing, bytes_max, &self.memory, Some(&hold));
+            let reading =
+                self.reader.read_body(framing, bytes_max, &self.memory, BodyOwner::Request(&hold));
             let reading = async { Some(within_ms(limits.idle_timeout_ms, reading).await) };
             let closing = async {
                 hold.closed().await;
@@ -264,9 +274,10 @@
         }
         let response = self.service.respond(head.map(|()| body));
         let unsent = self.unsent.clone();
+        unsent.activity.response_expected(expected_bytes);
         let task = self.executor.spawn(async move {
             let response = response.await;
-            unsent.add(response.body().len());
+            unsent.add(expected_bytes, response.body().len());
             drop(charge);
             response
         });
@@ -302,6 +313,15 @@
         }
     }
 
+    /// Waits until the connection may have another response with so many bytes in progress.
+    async fn wait_for_responses_room(&self, expected_bytes: usize) {
+        let bytes_max = RESPONSES_BYTES_MAX.min(self.memory.total_bytes() / RESPONSES_DIVISOR);
+        let activity = &self.unsent.activity;
+        while !activity.is_idle() && activity.outstanding_bytes() + expected_bytes > bytes_max {
+            sleep_ms(RESPONSES_POLL_MS).await;
+        }
+    }
+
     /// Waits until all earlier responses are sent. Returns early with the reason if the client
     /// disconnects meanwhile, or with no reason if the memory of the request is needed: that of a
     /// small request is kept. Reads no more than the start of the next request.
--- a/crates/wire/src/h1/service.rs
+++ b/crates/wire/src/h1/service.rs
@@ -53,6 +53,12 @@
 
     fn limits(&self) -> ServerLimits;
 
+    /// How many bytes the body of the response to a request is expected to have. Bounds the pipelined
+    /// requests of a connection that are in progress at the same time.
+    fn expected_response_bytes(&self, _head: &Request<()>) -> usize {
+        0
+    }
+
     /// The response to any request while the service can handle none. It is sent before the body is
     /// read, in place of a refusal of the request itself, and closes the connection. The head is
     /// absent if it could not be read.
--- a/crates/wire/src/memory/budget.rs
+++ b/crates/wire/src/memory/budget.rs
@@ -24,9 +24,11 @@
 pub enum Purpose {
     /// A request that has not run, of this size in all.
     Request { bytes: usize },
-    /// A response, or a message between daemons. Its memory is always granted: the request has run,
-    /// or the message was received already.
-    Result,
+    /// A response that is larger than what was reserved for it. Its request has run, so that it waits
+    /// until it is granted.
+    Response,
+    /// Bytes that are in memory in any case, which are always granted.
+    Present,
 }
 
 /// What the memory of a holder contains.
@@ -136,10 +138,10 @@
     }
 
     /// Requests memory, for the holder with the id `own` if there is one. A request that does not fit
-    /// is granted if closing other connections makes room: those of stalled holders for a large
-    /// request, any holder's for a small one or a result. Requests are closed before responses, and
-    /// those without progress for longest first. The own connection is closed only for a result, and
-    /// only if nothing else is left.
+    /// is granted if closing other connections makes room: those of stalled holders, and for anything
+    /// but a large request also those with incomplete requests that make progress. A client that reads
+    /// its responses is never closed. Those without progress for longest are closed first, requests
+    /// before responses.
     pub fn request(
         &mut self,
         own: Option<u64>,
@@ -151,14 +153,16 @@
             Purpose::Request { bytes } if bytes > SMALL_BYTES_MAX => {
                 (self.request_bytes_max(), true)
             }
-            Purpose::Request { .. } | Purpose::Result => (self.total_bytes, false),
+            Purpose::Request { .. } | Purpose::Response | Purpose::Present => {
+                (self.total_bytes, false)
+            }
         };
         let kept_bytes = self.used_bytes.saturating_sub(self.closing_bytes);
         let wanted_bytes = kept_bytes.saturating_add(bytes);
         let mut excess_bytes = wanted_bytes.saturating_sub(limit_bytes);
         let mut closed = Vec::new();
         if excess_bytes > 0 {
-            for (id, holder_bytes) in self.candidates(own, purpose, is_large, now_ms) {
+            for (id, holder_bytes) in self.candidates(own, is_large, now_ms) {
                 closed.push(id);
                 excess_bytes = excess_bytes.saturating_sub(holder_bytes);
                 if excess_bytes == 0 {
@@ -166,7 +170,7 @@
                 }
             }
         }
-        let is_granted = excess_bytes == 0 || purpose == Purpose::Result;
+        let is_granted = excess_bytes == 0 || purpose == Purpose::Present;
         if !is_granted {
             return Decision::default();
         }
@@ -186,27 +190,21 @@
     }
 
     /// The holders that may be closed, with their bytes, in the order in which they are closed.
-    fn candidates(
-        &self,
-        own: Option<u64>,
-        purpose: Purpose,
-        is_large: bool,
-        now_ms: u64,
-    ) -> Vec<(u64, usize)> {
+    fn candidates(&self, own: Option<u64>, is_large: bool, now_ms: u64) -> Vec<(u64, usize)> {
         let is_stalled = |holder: &Holder| now_ms >= holder.progress_ms + STALL_MS;
         let mut holders: Vec<(&u64, &Holder)> = self
             .holders
             .iter()
             .filter(|(id, holder)| {
+                let may_make_progress = !is_large;
                 holder.bytes > 0
                     && !holder.is_closing
-                    && (Some(**id) != own || purpose == Purpose::Result)
-                    && (!is_large || is_stalled(holder))
+                    && Some(**id) != own
+                    && (may_make_progress || is_stalled(holder))
             })
             .collect();
         holders.sort_by_key(|(id, holder)| {
-            let is_own = Some(**id) == own;
-            (is_own, !is_stalled(holder), holder.kind, holder.progress_ms, **id)
+            (!is_stalled(holder), holder.kind, holder.progress_ms, **id)
         });
         holders.into_iter().map(|(id, holder)| (*id, holder.bytes)).collect()
     }
--- a/crates/wire/src/memory/mod.rs
+++ b/crates/wire/src/memory/mod.rs
@@ -1,6 +1,9 @@
 //! The memory budget of a process, and the buffers that are charged to it.
 
 pub mod budget;
+mod room;
+
+pub use room::Room;
 
 use crate::clock::Clock;
 use async_channel::{Receiver, Sender};
@@ -81,7 +84,7 @@
     /// Charges bytes that are in memory in any case.
     pub fn charge(self: &Arc<Self>, bytes: usize) -> Charge {
         let mut charge = self.empty_charge();
-        charge.try_grow(None, bytes, Purpose::Result);
+        charge.try_grow(None, bytes, Purpose::Present);
         charge
     }
 
@@ -129,6 +132,18 @@
         decision.is_granted
     }
 
+    /// Moves up to `bytes` of this charge to another one.
+    fn split(&mut self, bytes: usize) -> Self {
+        let bytes = bytes.min(self.bytes);
+        self.bytes -= bytes;
+        Self { memory: self.memory.clone(), bytes }
+    }
+
+    /// Adds another charge to this one.
+    pub fn merge(&mut self, mut other: Self) {
+        self.bytes += std::mem::take(&mut other.bytes);
+    }
+
     /// Makes the charge last as long as `bytes`, including their clones and slices.
     pub fn attach<T: AsRef<[u8]> + Send + 'static>(self, bytes: T) -> Bytes {
         Bytes::from_owner(Charged { bytes, _charge: self })
