Memory: a client that reads its responses keeps its connection

Cause: for a small request or a further response the budget closed any holder of unread responses, also one that had made progress a moment ago.

--- a/crates/wire/src/memory/budget.rs
+++ b/crates/wire/src/memory/budget.rs
@@ -196,7 +196,7 @@
             .holders
             .iter()
             .filter(|(id, holder)| {
-                let may_make_progress = !is_large;
+                let may_make_progress = !is_large && holder.kind == HolderKind::Request;
                 holder.bytes > 0
                     && !holder.is_closing
                     && Some(**id) != own
