Planned stop: a daemon that nobody uses yet stops at once

Cause, from the log of a failing start: the signal came between the check at the start and the first wait for signals, 0.04 ms before 'daemon-draining'. The stop then waited for callers and peers that could not come.

A daemon that has never reported that it is ready, and to which no caller or peer is connected, now stops as soon as it is idle.

--- a/crates/core/src/mesh/stop_schedule.rs
+++ b/crates/core/src/mesh/stop_schedule.rs
@@ -28,12 +28,27 @@
 pub struct StopSchedule {
     started_ms: u64,
     exit_ms: u64,
+    /// How long requests of callers are read and peers may call.
+    serving_ms: u64,
+    /// How long calls of peers may arrive after that.
+    last_calls_ms: u64,
 }
 
 impl StopSchedule {
     /// The schedule of a stop that starts now, for a daemon that is killed after `grace_ms`.
     pub fn new(now_ms: u64, grace_ms: u64) -> Self {
-        Self { started_ms: now_ms, exit_ms: now_ms + grace_ms.saturating_sub(EXIT_MARGIN_MS) }
+        Self {
+            started_ms: now_ms,
+            exit_ms: now_ms + grace_ms.saturating_sub(EXIT_MARGIN_MS),
+            serving_ms: UNREADY_SERVING_MS,
+            last_calls_ms: LAST_CALLS_MS,
+        }
+    }
+
+    /// The same for a daemon that nobody uses: it has never been ready, and neither callers nor peers
+    /// are connected to it. It exits as soon as it is idle.
+    pub fn of_unused(now_ms: u64, grace_ms: u64) -> Self {
+        Self { serving_ms: 0, last_calls_ms: 0, ..Self::new(now_ms, grace_ms) }
     }
 
     pub fn started_ms(&self) -> u64 {
@@ -47,12 +62,12 @@
 
     /// Whether requests of callers are still read and peers may still call the local target.
     pub fn is_serving(&self, now_ms: u64) -> bool {
-        now_ms < self.started_ms + UNREADY_SERVING_MS
+        now_ms < self.started_ms + self.serving_ms
     }
 
     /// Whether the daemon may exit as soon as it is idle: no calls of peers arrive any more.
     pub fn may_exit(&self, now_ms: u64) -> bool {
-        now_ms >= self.started_ms + UNREADY_SERVING_MS + LAST_CALLS_MS
+        now_ms >= self.started_ms + self.serving_ms + self.last_calls_ms
     }
 
     /// Whether requests without a response get one that says whether they may have run.
--- a/crates/core/tests/stop_schedule.rs
+++ b/crates/core/tests/stop_schedule.rs
@@ -25,6 +25,15 @@
     assert!(schedule.exit_ms() < STARTED_MS + grace_ms);
 }
 
+/// A daemon that nobody uses yet waited for callers and peers that could not come.
+#[test]
+fn unused_daemon_exits_at_once() {
+    let schedule = StopSchedule::of_unused(STARTED_MS, 6_000);
+    assert!(!schedule.is_serving(STARTED_MS) && schedule.may_exit(STARTED_MS));
+    assert!(!schedule.is_last_response_due(STARTED_MS), "a control call in progress is answered");
+    assert_eq!(schedule.exit_ms(), StopSchedule::new(STARTED_MS, 6_000).exit_ms());
+}
+
 /// A body that ends late: its request is passed on only if it can end in time.
 #[test]
 fn late_body_is_passed_on_in_time() {
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -99,6 +99,8 @@
     /// The expected size of the responses of each route, by the route's name.
     pub response_sizes: RefCell<BTreeMap<Arc<str>, ExpectedSize>>,
     rng: RefCell<ChaCha8Rng>,
+    /// Whether this daemon has reported that it is ready.
+    pub has_been_ready: Cell<bool>,
     /// Set when the daemon is stopping, and reports that it is not ready.
     stop_schedule: Cell<Option<StopSchedule>>,
     /// Whether this daemon reports to peers that it is leaving, after which they send no further
@@ -227,6 +229,13 @@
         self.is_stopping() && self.target_state() == TargetState::Draining
     }
 
+    /// Whether callers or peers may be using this daemon.
+    fn is_in_use(&self) -> bool {
+        self.has_been_ready.get()
+            || self.caller_connections.count() > 0
+            || !self.links.incoming.borrow().is_empty()
+    }
+
     /// Whether the platform may route callers to this daemon.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.config.routes().is_some()
@@ -293,6 +302,7 @@
         typical_times: RefCell::new(BTreeMap::new()),
         response_sizes: RefCell::new(BTreeMap::new()),
         rng: RefCell::new(rng),
+        has_been_ready: Cell::new(false),
         stop_schedule: Cell::new(None),
         is_leaving: Cell::new(false),
         stop: async_channel::bounded(1),
@@ -398,7 +408,11 @@
 /// VM is being removed, so the record of this daemon is removed too.
 async fn drain(mesh: &Rc<Mesh>) {
     let grace_ms = mesh.mesh_settings.borrow().grace_ms;
-    let schedule = StopSchedule::new(mesh.now_ms(), grace_ms);
+    let schedule = if mesh.is_in_use() {
+        StopSchedule::new(mesh.now_ms(), grace_ms)
+    } else {
+        StopSchedule::of_unused(mesh.now_ms(), grace_ms)
+    };
     mesh.stop_schedule.set(Some(schedule));
     mesh.inbound.limit_deadlines(schedule.run_until_ms());
     log_event(Event::DaemonDraining, &format!("in_flight={}", mesh.in_flight.get()));
