Memory: waiting for room asks less often the longer it takes

While memory is short, many requests wait, and each question looks at all connections. The pause grows from 5 to 40 ms. One function repeats the question for requests, responses and announced results.

--- a/crates/daemon/src/mesh/peer_calls.rs
+++ b/crates/daemon/src/mesh/peer_calls.rs
@@ -7,8 +7,8 @@
 use pomeloreach_core::mesh::message::{
     Call, CallResult, InboundRequest, InboundResponse, LinkMessage,
 };
-use pomeloreach_wire::clock::{boot_ms, sleep_ms};
-use pomeloreach_wire::memory::{Charge, Room};
+use pomeloreach_wire::clock::boot_ms;
+use pomeloreach_wire::memory::{Charge, Room, retry_until_some};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -17,8 +17,6 @@
 /// A larger body is always offered, also on a link that is fast enough for it: a body that is sent whole
 /// is in memory once more, and is received before the peer can refuse it.
 const SENT_WHOLE_BYTES_MAX: usize = 1024 * 1024;
-/// How often a result that was announced is tried to find room, in milliseconds.
-const ROOM_POLL_MS: u64 = 5;
 
 /// The calls on a link that wait for their results, by call id.
 pub type PendingCalls = Rc<RefCell<BTreeMap<u64, WaitingCall>>>;
@@ -127,20 +125,15 @@
     body_bytes: u64,
 ) {
     let bytes = usize::try_from(body_bytes).unwrap_or(usize::MAX);
-    loop {
-        let room = pending.borrow().get(&call_id).map(|waiting| waiting.room.clone());
-        let message = match room {
-            None => LinkMessage::Cancel { call_id },
-            Some(room) if room.try_extend(bytes) => LinkMessage::ResultRequest { call_id },
-            Some(_) => {
-                sleep_ms(ROOM_POLL_MS).await;
-                continue;
-            }
-        };
-        // A link whose queue is full or closed is ending, and the call with it.
-        frames.send(encode(&message));
-        return;
-    }
+    let message = retry_until_some(|| match pending.borrow().get(&call_id) {
+        None => Some(LinkMessage::Cancel { call_id }),
+        Some(waiting) if waiting.room.try_extend(bytes) => {
+            Some(LinkMessage::ResultRequest { call_id })
+        }
+        Some(_) => None,
+    });
+    // A link whose queue is full or closed is ending, and the call with it.
+    frames.send(encode(&message.await));
 }
 
 /// Hands the result of a call to the task that waits for it.
--- a/crates/wire/src/memory/mod.rs
+++ b/crates/wire/src/memory/mod.rs
@@ -3,7 +3,7 @@
 pub mod budget;
 mod room;
 
-pub use room::Room;
+pub use room::{Room, retry_until_some};
 
 use crate::clock::Clock;
 use async_channel::{Receiver, Sender};
--- a/crates/wire/src/memory/room.rs
+++ b/crates/wire/src/memory/room.rs
@@ -5,8 +5,10 @@
 use crate::clock::{sleep_ms, within_ms};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// How often something that waits for memory asks again, in milliseconds.
+/// After how long something that waits for memory asks again at first, in milliseconds. The pause doubles
+/// up to `POLL_MS_MAX`: while memory is short many wait, and each question looks at all connections.
 const POLL_MS: u64 = 5;
+const POLL_MS_MAX: u64 = 40;
 
 /// Memory that is reserved for one response, shared by all that take part in receiving it. What is not
 /// taken is returned when the last of them drops it.
@@ -29,15 +31,7 @@
 
     /// Like [`Self::try_reserve`], and waits for room for `wait_ms` at most.
     pub async fn reserve(memory: &Arc<Memory>, bytes: usize, wait_ms: u64) -> Option<Self> {
-        let reserving = async {
-            loop {
-                if let Some(room) = Self::try_reserve(memory, bytes) {
-                    return room;
-                }
-                sleep_ms(POLL_MS).await;
-            }
-        };
-        within_ms(wait_ms, reserving).await
+        within_ms(wait_ms, retry_until_some(|| Self::try_reserve(memory, bytes))).await
     }
 
     /// The number of bytes that are reserved and not taken.
@@ -54,9 +48,7 @@
 
     /// Takes the memory for a part of the response, and waits until there is room for it.
     pub async fn take(&self, bytes: usize) -> Charge {
-        while !self.try_extend(bytes) {
-            sleep_ms(POLL_MS).await;
-        }
+        retry_until_some(|| self.try_extend(bytes).then_some(())).await;
         self.reserved().split(bytes)
     }
 
@@ -72,3 +64,15 @@
         self.reserved.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Repeats a request for memory until it is granted, or ends for another reason.
+pub async fn retry_until_some<T>(request: impl Fn() -> Option<T>) -> T {
+    let mut pause_ms = POLL_MS;
+    loop {
+        if let Some(result) = request() {
+            return result;
+        }
+        sleep_ms(pause_ms).await;
+        pause_ms = (pause_ms * 2).min(POLL_MS_MAX);
+    }
+}
