Departed targets: a damaged record does not count as an empty one

A target that had left could be used again after a restart of all daemons, if another writer had damaged the record of its VM.

Cause: a record that could not be decoded was taken to have no targets, and one odd entry hid the others.

If any cannot be, the daemon goes on as while the store is unavailable.

--- a/crates/daemon/src/mesh/departures.rs
+++ b/crates/daemon/src/mesh/departures.rs
@@ -103,12 +103,13 @@
     let (written, starts) = match call {
         DepartureCall::Read => {
             let read = store.find_departures(vm, STORE_TIMEOUT_MS).await?;
+            let is_complete = read.undecodable.is_none();
             if let Some(reason) = read.undecodable {
                 log_event(Event::InputRefused, &format!("call=departures reason={reason}"));
             }
             let starts = read.record.iter().flat_map(|record| record.starts.clone()).collect();
             log.borrow_mut().record_read(read.record, store.newest_era(), mesh.now_ms());
-            apply_earlier_departures(mesh, starts);
+            apply_earlier_departures(mesh, starts, is_complete);
             return Ok(());
         }
         DepartureCall::Create(starts) => {
@@ -132,8 +133,9 @@
 }
 
 /// Applies the targets that left before this process started, after which the local target can be
-/// used.
-fn apply_earlier_departures(mesh: &Rc<Mesh>, starts: Vec<TargetStart>) {
+/// used. If another writer has damaged the record, it can lack some: the local target is then used as if
+/// the store were unavailable.
+fn apply_earlier_departures(mesh: &Rc<Mesh>, starts: Vec<TargetStart>, is_complete: bool) {
     let now_ms = mesh.now_ms();
     for start in starts {
         if mesh.local_target.borrow_mut().apply_leave(start.clone(), now_ms) {
@@ -141,7 +143,9 @@
         }
         mesh.peers.borrow_mut().add_departed(start, now_ms);
     }
-    mesh.local_target.borrow_mut().set_knows_departed();
+    if is_complete {
+        mesh.local_target.borrow_mut().set_knows_departed();
+    }
     mesh.publish_target_change();
 }
 
