Planned stop: a daemon with a configuration counts as in use

The form of 'unused' that went by answered readiness checks made late_requests fail (orders_at_end_of_grace, leave_at_exit): callers also come to a daemon that was not checked yet. A daemon now stops at once only if it has no configuration, so that it has never been ready, and has no connections.

--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -100,8 +100,6 @@
     /// The expected size of the responses of each route, by the route's name.
     pub response_sizes: RefCell<BTreeMap<Arc<str>, ExpectedSize>>,
     rng: RefCell<ChaCha8Rng>,
-    /// Whether this daemon has reported that it is ready.
-    pub has_been_ready: Cell<bool>,
     /// Set when the daemon is stopping, and reports that it is not ready.
     stop_schedule: Cell<Option<StopSchedule>>,
     /// Whether this daemon reports to peers that it is leaving, after which they send no further
@@ -230,9 +228,9 @@
         self.is_stopping() && self.target_state() == TargetState::Draining
     }
 
-    /// Whether callers or peers may be using this daemon.
+    /// Whether callers or peers may be using this daemon: it has been ready, or they are connected.
     fn is_in_use(&self) -> bool {
-        self.has_been_ready.get()
+        self.config.routes().is_some()
             || self.caller_connections.count() > 0
             || !self.links.incoming.borrow().is_empty()
     }
@@ -303,7 +301,6 @@
         typical_times: RefCell::new(BTreeMap::new()),
         response_sizes: RefCell::new(BTreeMap::new()),
         rng: RefCell::new(rng),
-        has_been_ready: Cell::new(false),
         stop_schedule: Cell::new(None),
         is_leaving: Cell::new(false),
         stop: async_channel::bounded(1),
--- a/crates/daemon/src/mesh/operators.rs
+++ b/crates/daemon/src/mesh/operators.rs
@@ -84,10 +84,7 @@
     match parse_control_call(method, path) {
         Some(ControlCall::Heartbeat { id }) => handle_heartbeat(mesh, id, request.body()).await,
         Some(ControlCall::Leave { id }) => handle_leave(mesh, &id, request.body()).await,
-        Some(ControlCall::Readiness) if mesh.is_ready() => {
-            mesh.has_been_ready.set(true);
-            empty_response(StatusCode::OK)
-        }
+        Some(ControlCall::Readiness) if mesh.is_ready() => empty_response(StatusCode::OK),
         Some(ControlCall::Readiness) => empty_response(StatusCode::SERVICE_UNAVAILABLE),
         None if *method == Method::GET && path == "/dump" => json_response(&dump(mesh)),
         None if *method == Method::GET && path == METRICS_PATH => metrics_response(mesh),
