Memory: a client that waits for its first response is not stalled

For a second no request ran at two daemons, then a connection was closed whose later responses were complete and took memory, while its first one waited for room: the client had nothing to read.

A holder of responses now counts as stalled only while one is being sent. On the code before, waiting_client_is_not_closed cannot be built; with the rule off it fails. slow_clients_keep_connections passes with and without it.

--- a/crates/wire/src/h1/responses.rs
+++ b/crates/wire/src/h1/responses.rs
@@ -31,9 +31,6 @@
 impl UnsentResponses {
     /// Records that a response is complete of which `expected_bytes` were expected.
     pub fn add(&self, expected_bytes: usize, bytes: usize) {
-        if self.activity.queued_bytes() == 0 {
-            self.hold.record_progress();
-        }
         self.activity.response_complete(expected_bytes, bytes);
         self.hold.set_bytes(self.activity.queued_bytes());
     }
@@ -73,6 +70,7 @@
         let is_last = ending.choose_last(service.is_draining());
         let message = encode(response, queued.is_head_request, is_last);
         let idle_timeout_ms = service.limits().idle_timeout_ms;
+        unsent.hold.set_sending(true);
         for part in message.parts() {
             match write_part(&mut stream, part, unsent, idle_timeout_ms).await {
                 None => return SendingEnd::Unread,
@@ -84,6 +82,7 @@
             return SendingEnd::LastResponse;
         }
         drop(message);
+        unsent.hold.set_sending(false);
         unsent.remove(body_bytes);
     }
     SendingEnd::Finished
--- a/crates/wire/src/memory/budget.rs
+++ b/crates/wire/src/memory/budget.rs
@@ -55,6 +55,17 @@
     /// When the holder last received or sent bytes.
     progress_ms: u64,
     is_closing: bool,
+    /// Whether a response is being sent, so that progress depends on the client. It does not while the
+    /// first response in order is not complete.
+    is_sending: bool,
+}
+
+impl Holder {
+    /// Whether the client has made no progress for too long.
+    fn is_stalled(&self, now_ms: u64) -> bool {
+        let depends_on_client = self.kind == HolderKind::Request || self.is_sending;
+        depends_on_client && now_ms >= self.progress_ms + STALL_MS
+    }
 }
 
 /// The memory budget of a daemon.
@@ -102,7 +113,8 @@
     /// Adds a holder without memory, and returns its id.
     pub fn add_holder(&mut self, kind: HolderKind, now_ms: u64) -> u64 {
         self.last_id += 1;
-        let holder = Holder { kind, bytes: 0, progress_ms: now_ms, is_closing: false };
+        let (is_closing, is_sending) = (false, false);
+        let holder = Holder { kind, bytes: 0, progress_ms: now_ms, is_closing, is_sending };
         self.holders.insert(self.last_id, holder);
         self.last_id
     }
@@ -131,6 +143,14 @@
         }
     }
 
+    /// Records that a response begins or ends to be sent.
+    pub fn set_sending(&mut self, id: u64, is_sending: bool, now_ms: u64) {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.is_sending = is_sending;
+            holder.progress_ms = now_ms;
+        }
+    }
+
     /// Removes a holder. Its memory is released separately.
     pub fn remove_holder(&mut self, id: u64) {
         self.set_holder_bytes(id, 0);
@@ -191,7 +211,6 @@
 
     /// The holders that may be closed, with their bytes, in the order in which they are closed.
     fn candidates(&self, own: Option<u64>, is_large: bool, now_ms: u64) -> Vec<(u64, usize)> {
-        let is_stalled = |holder: &Holder| now_ms >= holder.progress_ms + STALL_MS;
         let mut holders: Vec<(&u64, &Holder)> = self
             .holders
             .iter()
@@ -200,11 +219,11 @@
                 holder.bytes > 0
                     && !holder.is_closing
                     && Some(**id) != own
-                    && (may_make_progress || is_stalled(holder))
+                    && (may_make_progress || holder.is_stalled(now_ms))
             })
             .collect();
         holders.sort_by_key(|(id, holder)| {
-            (!is_stalled(holder), holder.kind, holder.progress_ms, **id)
+            (!holder.is_stalled(now_ms), holder.kind, holder.progress_ms, **id)
         });
         holders.into_iter().map(|(id, holder)| (*id, holder.bytes)).collect()
     }
--- a/crates/wire/src/memory/mod.rs
+++ b/crates/wire/src/memory/mod.rs
@@ -193,6 +193,12 @@
         self.memory.state().budget.record_progress(self.id, now_ms);
     }
 
+    /// Records that a response begins or ends to be sent.
+    pub fn set_sending(&self, is_sending: bool) {
+        let now_ms = self.memory.clock.now_ms();
+        self.memory.state().budget.set_sending(self.id, is_sending, now_ms);
+    }
+
     /// Completes when the holder must give up its memory.
     pub async fn closed(&self) {
         // The sender is closed, never used.
--- a/crates/wire/tests/memory_budget.rs
+++ b/crates/wire/tests/memory_budget.rs
@@ -103,6 +103,8 @@
     let request = holder(&mut budget, HolderKind::Request, LARGE / 4, 2);
     let fill = TOTAL - LARGE / 4 * 3;
     assert!(budget.request(None, fill, Purpose::Present, 3).is_granted);
+    budget.set_sending(own, true, 0);
+    budget.set_sending(unread, true, 1);
     let mut next = |purpose, now_ms| budget.request(Some(own), LARGE / 4, purpose, now_ms);
     assert_eq!(next(Purpose::Response, 4), closed(&[request]));
     assert_eq!(next(Purpose::Response, STALL_MS), Decision::default(), "the client may be reading");
@@ -113,6 +115,20 @@
     assert_eq!(next(Purpose::Present, 2 * STALL_MS), closed(&[]));
 }
 
+/// A connection whose first response was not complete yet was closed, although its client had read all
+/// that it could.
+#[test]
+fn waiting_client_is_not_closed() {
+    let mut budget = Budget::new(TOTAL);
+    let waiting = holder(&mut budget, HolderKind::Responses, LARGE, 0);
+    let mut next = |now_ms| budget.request(None, LARGE, large(LARGE), now_ms);
+    assert_eq!(next(10 * STALL_MS), Decision::default());
+    budget.set_sending(waiting, true, 10 * STALL_MS);
+    let mut next = |now_ms| budget.request(None, LARGE, large(LARGE), now_ms);
+    assert_eq!(next(11 * STALL_MS - 1), Decision::default());
+    assert_eq!(next(11 * STALL_MS), closed(&[waiting]));
+}
+
 /// Connections that took all of the budget left no room for the requests on them.
 #[test]
 fn connections_leave_room_for_requests() {
