--- a/crates/daemon/src/mesh/discovery.rs
+++ b/crates/daemon/src/mesh/discovery.rs
@@ -114,7 +114,7 @@
     let is_replaced = |record: &DaemonRecord| *record.name == *name && !is_own_record(mesh, record);
     changes.list.records.iter().any(is_replaced)
         || changes.list.undecodable.iter().any(|record| record.name == name)
-        || changes.removed.iter().any(|removed| removed == name)
+        || changes.removed.contains(name)
 }
 
 /// Reads the record of this daemon after the store came back from a copy or another writer changed the
