Directory: a daemon that is removed while it is linked is forgotten later

What operators saw: nothing so far; found by reading. A daemon removes its record when it begins to stop, and its links stay open for the grace time. A peer that polled the store in between (every 8 to 16 s) kept the daemon for good: it dialled the address every four seconds at most, counted the daemon as known, and listed it to others.

Cause: the store reports a removal once. A peer with a link was kept, and the removal not recorded.

The peer is now marked as removed. It is used while it can be reached, is neither counted nor listed to others, and is forgotten after three dials in vain or when no link to it is needed. A record of the store takes the mark away, so the source of a record is passed to the table of peers.

--- a/crates/core/src/mesh/peers.rs
+++ b/crates/core/src/mesh/peers.rs
@@ -23,6 +23,17 @@
 /// How long a lost call counts against a peer, in milliseconds.
 const LOST_CALL_KEPT_MS: u64 = 2_000;
 
+/// Where the record of a peer comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordSource {
+    /// The peer itself.
+    Owner,
+    /// The store.
+    Store,
+    /// Another peer, which listed the daemons that it knows.
+    Peer,
+}
+
 /// What this daemon knows of one peer.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -33,6 +44,9 @@
     pub last_received_ms: u64,
     /// Whether a link to the peer is open, so that calls can be sent.
     pub is_linked: bool,
+    /// Whether the record of the peer was removed from the store, because its VM is being removed. The
+    /// peer is used while it can be reached.
+    is_removed: bool,
     /// Calls of this daemon that the peer has not answered.
     pub outstanding_calls: u16,
     /// Calls that were sent since the peer's last report, which therefore does not include them.
@@ -61,6 +75,7 @@
             state: None,
             last_received_ms: now_ms,
             is_linked: false,
+            is_removed: false,
             outstanding_calls: 0,
             unreported_calls: 0,
             call_lost_ms: None,
@@ -187,9 +202,14 @@
         self.peers.values()
     }
 
-    /// The number of known daemons including this one.
+    /// The peers whose records were not removed.
+    fn present(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(|peer| !peer.is_removed)
+    }
+
+    /// The number of known daemons including this one, without removed ones.
     pub fn daemon_count(&self) -> usize {
-        self.peers.len() + 1
+        self.present().count() + 1
     }
 
     /// The peers to which a link is open.
@@ -226,42 +246,53 @@
         topology::wanted_links(&self.local, self.peers.values(), self.has_quotas, now_ms)
     }
 
-    /// The records of all known daemons including this one.
+    /// The records of all known daemons including this one, without removed ones.
     pub fn records(&self) -> Vec<DaemonRecord> {
-        let others = self.peers.values().map(|peer| peer.record.clone());
+        let others = self.present().map(|peer| peer.record.clone());
         others.chain(std::iter::once(self.local.clone())).collect()
     }
 
-    /// Adds or updates the record of a peer. A record that the peer sent itself (`from_owner`)
-    /// replaces a known one. A record that another daemon sent may be from an earlier start, so it
-    /// only adds an unknown peer, or replaces that of a peer without a link whose address differs.
-    pub fn update_record(&mut self, record: DaemonRecord, from_owner: bool, now_ms: u64) {
+    /// Adds or updates the record of a peer. A record that the peer sent itself replaces a known one.
+    /// Another may be from an earlier start, so it only adds an unknown peer, or replaces that of a peer
+    /// without a link whose address differs.
+    pub fn update_record(&mut self, record: DaemonRecord, source: RecordSource, now_ms: u64) {
         if record.name == self.local.name {
             return;
         }
-        match self.peers.get_mut(&record.name) {
-            None => {
-                self.peers.insert(record.name.clone(), Peer::new(&self.local, record, now_ms));
-            }
-            Some(peer) if from_owner && peer.record != record => {
-                peer.record = record;
-                peer.next_dial_ms = now_ms;
-                peer.dial_attempts = 0;
-            }
-            Some(peer) if !peer.is_linked && peer.record.link_addr != record.link_addr => {
-                peer.record = record;
-            }
-            Some(_) => {}
+        let Some(peer) = self.peers.get_mut(&record.name) else {
+            self.peers.insert(record.name.clone(), Peer::new(&self.local, record, now_ms));
+            return;
+        };
+        if source == RecordSource::Store {
+            peer.is_removed = false;
+        }
+        if source == RecordSource::Owner && peer.record != record {
+            peer.record = record;
+            peer.next_dial_ms = now_ms;
+            peer.dial_attempts = 0;
+        } else if !peer.is_linked && peer.record.link_addr != record.link_addr {
+            peer.record = record;
         }
     }
 
-    /// Removes a peer whose VM was removed. A peer with an open link is kept.
-    pub fn remove_unlinked(&mut self, name: &str) {
-        if self.peers.get(name).is_some_and(|peer| !peer.is_linked) {
+    /// Records that the record of a peer was removed from the store. A peer with an open link is kept
+    /// until it cannot be reached any more; see [`Self::forget_removed`].
+    pub fn record_removed(&mut self, name: &str) {
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        peer.is_removed = true;
+        if !peer.is_linked {
             self.peers.remove(name);
         }
     }
 
+    /// Forgets the removed peers that cannot be reached, or that need no link.
+    pub fn forget_removed(&mut self, wanted: &BTreeSet<Arc<str>>) {
+        self.peers.retain(|name, peer| {
+            let may_be_linked = wanted.contains(name) && topology::may_be_linked(peer);
+            !peer.is_removed || peer.is_linked || may_be_linked
+        });
+    }
+
     /// The wanted peers to dial now. Counts a dial for each and sets the time of its next one.
     pub fn take_due_dials(
         &mut self,
--- a/crates/core/src/mesh/topology.rs
+++ b/crates/core/src/mesh/topology.rs
@@ -150,6 +150,6 @@
 }
 
 /// Whether a link to the peer is open, or can probably be opened.
-fn may_be_linked(peer: &Peer) -> bool {
+pub fn may_be_linked(peer: &Peer) -> bool {
     peer.is_linked || peer.dial_attempts() <= FAILED_DIALS_MAX
 }
--- a/crates/core/tests/mesh_config.rs
+++ b/crates/core/tests/mesh_config.rs
@@ -3,7 +3,7 @@
 use pomeloreach_core::code::ResultCode;
 use pomeloreach_core::endpoint::TargetState;
 use pomeloreach_core::mesh::delta::Delta;
-use pomeloreach_core::mesh::peers::Peers;
+use pomeloreach_core::mesh::peers::{Peers, RecordSource};
 use pomeloreach_core::mesh::published::{PublishedConfig, missing_route_code};
 use pomeloreach_core::mesh::readers::{
     Confirmation, confirmed_revision, reported_confirmation, should_read,
@@ -171,7 +171,7 @@
     let mut peers = Peers::new(record(local));
     for index in (0..5).filter(|index| *index != local) {
         let name = format!("d{index}");
-        peers.update_record(record(index), true, 0);
+        peers.update_record(record(index), RecordSource::Owner, 0);
         let target = TargetSummary {
             id: "t".into(),
             born_unix_ms: 100,
--- a/crates/core/tests/mesh_dissemination.rs
+++ b/crates/core/tests/mesh_dissemination.rs
@@ -2,7 +2,7 @@
 //! regions, also when daemons on the way are lost.
 
 use pomeloreach_core::mesh::dissemination::{ConfigSource, Distance, Subscriber, recipients};
-use pomeloreach_core::mesh::peers::Peers;
+use pomeloreach_core::mesh::peers::{Peers, RecordSource};
 use pomeloreach_core::mesh::state::{ConfigState, DaemonRecord, DaemonState};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
@@ -61,7 +61,7 @@
     for local in (0..daemons).filter(|index| !is_lost(*index)) {
         let mut peers = Peers::new(record(local));
         for index in (0..daemons).filter(|index| *index != local) {
-            peers.update_record(record(index), false, 0);
+            peers.update_record(record(index), RecordSource::Store, 0);
         }
         for round in 0..10_u64 {
             let (wanted, now_ms) = (peers.wanted_links(round * 10_000), round * 10_000);
--- a/crates/core/tests/mesh_placement.rs
+++ b/crates/core/tests/mesh_placement.rs
@@ -2,7 +2,7 @@
 
 use pomeloreach_core::account::combined_rank;
 use pomeloreach_core::endpoint::TargetState;
-use pomeloreach_core::mesh::peers::Peers;
+use pomeloreach_core::mesh::peers::{Peers, RecordSource};
 use pomeloreach_core::mesh::placer::{Placement, PlacementQuery, choose};
 use pomeloreach_core::mesh::state::{
     ConfigState, DaemonRecord, DaemonState, TargetLoad, TargetSummary,
@@ -41,7 +41,7 @@
     let mut peers = Peers::new(record("local", "a", "a1"));
     let locations = [("zone", "a", "a1"), ("region", "a", "a2"), ("remote", "b", "b1")];
     for ((name, region, zone), load) in locations.into_iter().zip(loads) {
-        peers.update_record(record(name, region, zone), true, 0);
+        peers.update_record(record(name, region, zone), RecordSource::Owner, 0);
         peers.link_opened(name, state(name, load), 0);
     }
     peers
@@ -205,7 +205,7 @@
     let mut peers = Peers::new(record("local", "a", "a1"));
     for index in 0..8 {
         let name = format!("d{index}");
-        peers.update_record(record(&name, "a", "a1"), true, 0);
+        peers.update_record(record(&name, "a", "a1"), RecordSource::Owner, 0);
         peers.link_opened(&name, state(&name, load(LOW_LOAD, 60.0)), 0);
     }
     let tried_daemons = BTreeSet::new();
--- a/crates/core/tests/mesh_topology.rs
+++ b/crates/core/tests/mesh_topology.rs
@@ -1,7 +1,7 @@
 //! Which links daemons keep as the mesh grows and after losses.
 
 use pomeloreach_core::endpoint::TargetState;
-use pomeloreach_core::mesh::peers::{Peer, Peers};
+use pomeloreach_core::mesh::peers::{Peer, Peers, RecordSource};
 use pomeloreach_core::mesh::state::{
     ConfigState, DaemonRecord, DaemonState, TargetLoad, TargetSummary,
 };
@@ -38,7 +38,7 @@
 fn peers_of(local: usize, daemons: usize) -> Peers {
     let mut peers = Peers::new(record(local));
     for index in (0..daemons).filter(|index| *index != local) {
-        peers.update_record(record(index), false, 0);
+        peers.update_record(record(index), RecordSource::Store, 0);
     }
     peers
 }
@@ -133,7 +133,7 @@
         };
         let mut peers = Peers::new(record(local));
         for index in (0..daemons).filter(|index| *index != local) {
-            peers.update_record(record(index), false, 0);
+            peers.update_record(record(index), RecordSource::Store, 0);
         }
         let is_lost = |name: &str| name[1..].parse::<usize>().unwrap() * 37 % 100 < lost_percent;
         for round in 0..12_u64 {
--- a/crates/daemon/src/mesh/discovery.rs
+++ b/crates/daemon/src/mesh/discovery.rs
@@ -11,6 +11,7 @@
 use pomeloreach_core::event::Event;
 use pomeloreach_core::mesh::dissemination::{ConfigSource, Distance};
 use pomeloreach_core::mesh::own_record::{OwnRecord, RecordAction};
+use pomeloreach_core::mesh::peers::RecordSource;
 use pomeloreach_core::mesh::state::DaemonRecord;
 use pomeloreach_platform::store::{
     DaemonChanges, DaemonList, StoreClient, StoreError, UndecodableRecord,
@@ -91,7 +92,7 @@
                     }
                     add_listed_daemons(&mesh, changes.list);
                     for name in changes.removed {
-                        mesh.peers.borrow_mut().remove_unlinked(&name);
+                        mesh.peers.borrow_mut().record_removed(&name);
                     }
                 }
                 // The store no longer has the changes since that position: lists all daemons again.
@@ -149,7 +150,7 @@
     for UndecodableRecord { name, reason } in list.undecodable {
         log_event(Event::InputRefused, &format!("call=directory reason={name}: {reason}"));
     }
-    links::add_known_daemons(mesh, list.records);
+    links::add_known_daemons(mesh, list.records, RecordSource::Store);
 }
 
 fn record_store_failure(mesh: &Rc<Mesh>, error: &StoreError) {
--- a/crates/daemon/src/mesh/incoming_links.rs
+++ b/crates/daemon/src/mesh/incoming_links.rs
@@ -16,6 +16,7 @@
 use pomeloreach_core::event::Event;
 use pomeloreach_core::mesh::dissemination::Distance;
 use pomeloreach_core::mesh::message::{CallResult, InboundRequest, InboundResponse, LinkMessage};
+use pomeloreach_core::mesh::peers::RecordSource;
 use pomeloreach_core::mesh::quota::LoanMessage;
 use pomeloreach_core::mesh::transit::TransitClock;
 use pomeloreach_wire::clock::boot_ms;
@@ -71,7 +72,7 @@
     transit.transit_ms(sent_ms, boot_ms());
     let distance = Distance::between(&mesh.local, &sender);
     reader.distance = distance;
-    mesh.peers.borrow_mut().update_record(sender, true, mesh.now_ms());
+    mesh.peers.borrow_mut().update_record(sender, RecordSource::Owner, mesh.now_ms());
     mesh.peers.borrow_mut().reset_redial(&name, mesh.now_ms());
     // The reading half stays open until the peer has received the last result and closes the link.
     mesh.spawn(write_frames(stream, queued, Shutdown::Write));
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -14,6 +14,7 @@
 use futures_lite::io::BufReader;
 use pomeloreach_core::mesh::dissemination::{Distance, Subscriber};
 use pomeloreach_core::mesh::message::LinkMessage;
+use pomeloreach_core::mesh::peers::RecordSource;
 use pomeloreach_core::mesh::state::DaemonRecord;
 use pomeloreach_wire::clock::sleep_ms;
 use pomeloreach_wire::frame::{self, FrameError};
@@ -329,11 +330,11 @@
 }
 
 /// Adds the daemons that a peer or the store has listed.
-pub fn add_known_daemons(mesh: &Rc<Mesh>, records: Vec<DaemonRecord>) {
+pub fn add_known_daemons(mesh: &Rc<Mesh>, records: Vec<DaemonRecord>, source: RecordSource) {
     let now_ms = mesh.now_ms();
     let mut peers = mesh.peers.borrow_mut();
     for record in records {
-        peers.update_record(record, false, now_ms);
+        peers.update_record(record, source, now_ms);
     }
 }
 
--- a/crates/daemon/src/mesh/outgoing_links.rs
+++ b/crates/daemon/src/mesh/outgoing_links.rs
@@ -15,6 +15,7 @@
 use pomeloreach_core::mesh::dissemination::Distance;
 use pomeloreach_core::mesh::heartbeat::DepartedTarget;
 use pomeloreach_core::mesh::message::LinkMessage;
+use pomeloreach_core::mesh::peers::RecordSource;
 use pomeloreach_core::mesh::quota::LoanMessage;
 use pomeloreach_core::mesh::state::{ConfigState, DaemonRecord};
 use pomeloreach_wire::clock::{boot_ms, sleep_ms, within_ms};
@@ -40,7 +41,7 @@
 /// How long a peer may take to send requested rows before another peer is asked, in milliseconds.
 const ROWS_TIMEOUT_MS: u64 = 400;
 
-/// Opens links to peers that should have one, and closes surplus links.
+/// Opens links to peers that should have one, and closes surplus links. Forgets removed peers.
 pub async fn dial(mesh: Rc<Mesh>) {
     loop {
         let wanted = mesh.peers.borrow().wanted_links(mesh.now_ms());
@@ -51,6 +52,7 @@
                 link.frames.close();
             }
         }
+        mesh.peers.borrow_mut().forget_removed(&wanted);
         let due = mesh.peers.borrow_mut().take_due_dials(&wanted, mesh.now_ms());
         for record in due {
             if !mesh.links.outgoing.borrow().contains_key(&record.name) {
@@ -113,7 +115,7 @@
     let link = OutgoingLink { frames: frames.clone(), pending: pending.clone(), start_id };
     mesh.links.outgoing.borrow_mut().insert(name.clone(), link);
     *opened_link = Some((name.clone(), start_id));
-    mesh.peers.borrow_mut().update_record(sender, true, mesh.now_ms());
+    mesh.peers.borrow_mut().update_record(sender, RecordSource::Owner, mesh.now_ms());
     if discovery::should_request_daemons(mesh, known_count, reader.distance) {
         frames.send(encode(&LinkMessage::DaemonsRequest));
     }
@@ -209,7 +211,9 @@
                 DeltaOutcome::Incomplete => request_rows(mesh, name, 0),
             }
         }
-        LinkMessage::KnownDaemons(records) => add_known_daemons(mesh, records),
+        LinkMessage::KnownDaemons(records) => {
+            add_known_daemons(mesh, records, RecordSource::Peer);
+        }
         LinkMessage::CreditGrant(grant) => quota::handle_credit_grant(mesh, name, &grant),
         LinkMessage::Loan(LoanMessage::Grant(grant)) => {
             quota::handle_loan_grant(mesh, name, &grant);
--- a/crates/standins/src/replay/mod.rs
+++ b/crates/standins/src/replay/mod.rs
@@ -20,7 +20,7 @@
 use pomeloreach_core::admission::Admission;
 use pomeloreach_core::endpoint::TargetState;
 use pomeloreach_core::mesh::attempts::AttemptResult;
-use pomeloreach_core::mesh::peers::Peers;
+use pomeloreach_core::mesh::peers::{Peers, RecordSource};
 use pomeloreach_core::mesh::state::{DaemonRecord, TargetLoad};
 use pomeloreach_core::mesh::typical_times::TypicalTimes;
 use rand_chacha::ChaCha8Rng;
@@ -149,7 +149,7 @@
                 let state = simulation.daemon_state(from);
                 let name = simulation.daemons[from].peers.local().name.clone();
                 let peer_record = simulation.daemons[from].peers.local().clone();
-                simulation.daemons[to].peers.update_record(peer_record, true, 0);
+                simulation.daemons[to].peers.update_record(peer_record, RecordSource::Owner, 0);
                 simulation.daemons[to].peers.link_opened(&name, state, 0);
             }
             let first_report_ms = simulation.random_below(REPORT_INTERVAL_MS);
