Directory: lists of peers do not bring back a removed daemon

A daemon that had learned of a removal opened a link to a peer that had not, was told that more daemons are known, and requested the list: the removed daemon was known again, for good, and passed on in turn. A daemon that opened a link while it was stopping returned in the same way.

Cause: a list of a peer counted as new, though it can be older than what the receiver knows.

Lists of peers don't add such a daemon; one that opens a link is used and forgotten when it cannot be reached. A record of the store ends this at once, so that a VM that starts again under its name is known as before.

--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -19,6 +19,7 @@
 pub mod published;
 pub mod quota;
 pub mod readers;
+pub mod removed_daemons;
 pub mod response_size;
 pub mod retry_after;
 pub mod round_robin;
--- a/crates/core/src/mesh/peers.rs
+++ b/crates/core/src/mesh/peers.rs
@@ -4,6 +4,7 @@
 use crate::endpoint::TargetState;
 use crate::mesh::dissemination::{Distance, Position};
 use crate::mesh::heartbeat::{DepartedTarget, DepartedTargets, TargetStart};
+use crate::mesh::removed_daemons::RemovedDaemons;
 use crate::mesh::state::{ConfigState, DaemonRecord, DaemonState, TargetLoad, TargetSummary};
 use crate::mesh::topology;
 use std::collections::{BTreeMap, BTreeSet};
@@ -127,14 +128,20 @@
     /// Targets that have left, including those whose daemon has restarted since and does not know
     /// that they left.
     departed: DepartedTargets,
+    removed: RemovedDaemons,
     /// Whether an account has a quota, for which links to the first daemons of the zone are needed.
     has_quotas: bool,
 }
 
 impl Peers {
     pub fn new(local: DaemonRecord) -> Self {
-        let departed = DepartedTargets::default();
-        Self { local, peers: BTreeMap::new(), departed, has_quotas: false }
+        Self {
+            local,
+            peers: BTreeMap::new(),
+            departed: DepartedTargets::default(),
+            removed: RemovedDaemons::default(),
+            has_quotas: false,
+        }
     }
 
     /// Sets whether an account has a quota.
@@ -254,13 +261,22 @@
 
     /// Adds or updates the record of a peer. A record that the peer sent itself replaces a known one.
     /// Another may be from an earlier start, so it only adds an unknown peer, or replaces that of a peer
-    /// without a link whose address differs.
+    /// without a link whose address differs. A peer that was removed returns to stay only with a record of
+    /// the store.
     pub fn update_record(&mut self, record: DaemonRecord, source: RecordSource, now_ms: u64) {
         if record.name == self.local.name {
             return;
         }
+        if source == RecordSource::Store {
+            self.removed.remove(&record.name);
+        }
+        let is_removed = self.removed.contains(&record.name, now_ms);
+        if is_removed && source == RecordSource::Peer {
+            return;
+        }
         let Some(peer) = self.peers.get_mut(&record.name) else {
-            self.peers.insert(record.name.clone(), Peer::new(&self.local, record, now_ms));
+            let peer = Peer { is_removed, ..Peer::new(&self.local, record, now_ms) };
+            self.peers.insert(peer.record.name.clone(), peer);
             return;
         };
         if source == RecordSource::Store {
@@ -277,7 +293,8 @@
 
     /// Records that the record of a peer was removed from the store. A peer with an open link is kept
     /// until it cannot be reached any more; see [`Self::forget_removed`].
-    pub fn record_removed(&mut self, name: &str) {
+    pub fn record_removed(&mut self, name: &str, now_ms: u64) {
+        self.removed.insert(name, now_ms);
         let Some(peer) = self.peers.get_mut(name) else { return };
         peer.is_removed = true;
         if !peer.is_linked {
--- a/crates/core/tests/removed_peers.rs
+++ b/crates/core/tests/removed_peers.rs
@@ -54,7 +54,7 @@
 #[test]
 fn removed_peer_without_link_is_forgotten() {
     let mut peers = peers();
-    peers.record_removed("d1");
+    peers.record_removed("d1", 100);
     assert!(peers.get("d1").is_none());
 }
 
@@ -64,7 +64,7 @@
 fn removed_peer_with_link_is_forgotten_later() {
     let mut peers = peers();
     peers.link_opened("d1", state(), 0);
-    peers.record_removed("d1");
+    peers.record_removed("d1", 100);
     dial_in_vain(&mut peers, 100);
     assert!(peers.get("d1").is_some_and(|peer| peer.is_linked));
     assert!(!is_listed(&peers), "a removed daemon is not passed on");
@@ -79,7 +79,7 @@
 fn removed_peer_without_need_for_link_is_forgotten() {
     let mut peers = peers();
     peers.link_opened("d1", state(), 0);
-    peers.record_removed("d1");
+    peers.record_removed("d1", 100);
     peers.link_closed("d1", 200);
     peers.forget_removed(&BTreeSet::new());
     assert!(peers.get("d1").is_none());
@@ -89,9 +89,46 @@
 fn announced_again_while_linked() {
     let mut peers = peers();
     peers.link_opened("d1", state(), 0);
-    peers.record_removed("d1");
+    peers.record_removed("d1", 100);
     peers.update_record(record("d1"), RecordSource::Store, 200);
     peers.link_closed("d1", 300);
     dial_in_vain(&mut peers, 300);
     assert!(is_listed(&peers));
 }
+
+/// Guards against a removed peer that returns for good, because a peer that has not learned of the
+/// removal lists it.
+#[test]
+fn removed_peer_is_not_added_from_lists() {
+    let mut peers = peers();
+    peers.record_removed("d1", 100);
+    peers.update_record(record("d1"), RecordSource::Peer, 200);
+    assert!(peers.get("d1").is_none());
+    peers.update_record(record("d1"), RecordSource::Store, 300);
+    assert!(is_listed(&peers));
+}
+
+/// Guards against a removed peer that returns for good, because it opens a link while it stops.
+#[test]
+fn removed_peer_that_opens_link_is_forgotten() {
+    let mut peers = peers();
+    peers.record_removed("d1", 100);
+    peers.update_record(record("d1"), RecordSource::Owner, 200);
+    assert!(peers.get("d1").is_some(), "a daemon that can be reached is used");
+    assert!(!is_listed(&peers), "a removed daemon is not passed on");
+    dial_in_vain(&mut peers, 200);
+    assert!(peers.get("d1").is_none());
+}
+
+/// A VM that starts again under its name is used before the store reports its record.
+#[test]
+fn announced_again_after_link() {
+    let mut peers = peers();
+    peers.record_removed("d1", 100);
+    peers.update_record(record("d1"), RecordSource::Owner, 200);
+    peers.link_opened("d1", state(), 200);
+    peers.update_record(record("d1"), RecordSource::Store, 300);
+    peers.link_closed("d1", 400);
+    dial_in_vain(&mut peers, 400);
+    assert!(is_listed(&peers));
+}
--- a/crates/daemon/src/mesh/discovery.rs
+++ b/crates/daemon/src/mesh/discovery.rs
@@ -92,7 +92,7 @@
                     }
                     add_listed_daemons(&mesh, changes.list);
                     for name in changes.removed {
-                        mesh.peers.borrow_mut().record_removed(&name);
+                        mesh.peers.borrow_mut().record_removed(&name, mesh.now_ms());
                     }
                 }
                 // The store no longer has the changes since that position: lists all daemons again.
