Directory: a removal costs no search of earlier ones

Found by reading. Each removal searched all removals of the last five minutes for expired ones, so that a release of a large fleet cost the square of its size; and the search for removed peers, ten times a second, looked up every peer among the wanted ones.

Expired removals are now forgotten with the removed peers, and only removed peers are looked up.

--- a/crates/core/src/mesh/peers.rs
+++ b/crates/core/src/mesh/peers.rs
@@ -128,6 +128,7 @@
     /// Targets that have left, including those whose daemon has restarted since and does not know
     /// that they left.
     departed: DepartedTargets,
+    /// Daemons whose records were removed, which lists of other peers do not bring back.
     removed: RemovedDaemons,
     /// Whether an account has a quota, for which links to the first daemons of the zone are needed.
     has_quotas: bool,
@@ -261,8 +262,8 @@
 
     /// Adds or updates the record of a peer. A record that the peer sent itself replaces a known one.
     /// Another may be from an earlier start, so it only adds an unknown peer, or replaces that of a peer
-    /// without a link whose address differs. A peer that was removed returns to stay only with a record of
-    /// the store.
+    /// without a link whose address differs. A list of another peer does not add a removed one, and a
+    /// removed one that opens a link stays marked until the store has a record of it again.
     pub fn update_record(&mut self, record: DaemonRecord, source: RecordSource, now_ms: u64) {
         if record.name == self.local.name {
             return;
@@ -303,10 +304,12 @@
     }
 
     /// Forgets the removed peers that cannot be reached, or that need no link.
-    pub fn forget_removed(&mut self, wanted: &BTreeSet<Arc<str>>) {
+    pub fn forget_removed(&mut self, wanted: &BTreeSet<Arc<str>>, now_ms: u64) {
+        self.removed.forget_expired(now_ms);
         self.peers.retain(|name, peer| {
-            let may_be_linked = wanted.contains(name) && topology::may_be_linked(peer);
-            !peer.is_removed || peer.is_linked || may_be_linked
+            !peer.is_removed
+                || peer.is_linked
+                || (wanted.contains(name) && topology::may_be_linked(peer))
         });
     }
 
--- a/crates/core/src/mesh/removed_daemons.rs
+++ b/crates/core/src/mesh/removed_daemons.rs
@@ -16,10 +16,14 @@
 
 impl RemovedDaemons {
     pub fn insert(&mut self, name: &str, now_ms: u64) {
-        self.expires_ms.retain(|_, expires_ms| now_ms < *expires_ms);
         self.expires_ms.insert(name.into(), now_ms + REMOVED_KEPT_MS);
     }
 
+    /// Forgets the daemons that were removed long ago.
+    pub fn forget_expired(&mut self, now_ms: u64) {
+        self.expires_ms.retain(|_, expires_ms| now_ms < *expires_ms);
+    }
+
     /// Records that the store has a record of the daemon.
     pub fn remove(&mut self, name: &str) {
         self.expires_ms.remove(name);
--- a/crates/core/tests/removed_peers.rs
+++ b/crates/core/tests/removed_peers.rs
@@ -6,6 +6,8 @@
 
 /// Longer than three dials of a peer take, in milliseconds.
 const DIALS_MS: u64 = 10_000;
+/// How long a removal is remembered, in milliseconds.
+const KEPT_MS: u64 = 300_000;
 
 fn record(name: &str) -> DaemonRecord {
     DaemonRecord {
@@ -33,7 +35,7 @@
 fn dial_in_vain(peers: &mut Peers, from_ms: u64) {
     for now_ms in (from_ms..from_ms + DIALS_MS).step_by(100) {
         let wanted = peers.wanted_links(now_ms);
-        peers.forget_removed(&wanted);
+        peers.forget_removed(&wanted, now_ms);
         peers.take_due_dials(&wanted, now_ms);
     }
 }
@@ -81,7 +83,7 @@
     peers.link_opened("d1", state(), 0);
     peers.record_removed("d1", 100);
     peers.link_closed("d1", 200);
-    peers.forget_removed(&BTreeSet::new());
+    peers.forget_removed(&BTreeSet::new(), 300);
     assert!(peers.get("d1").is_none());
 }
 
@@ -132,3 +134,16 @@
     dial_in_vain(&mut peers, 400);
     assert!(is_listed(&peers));
 }
+
+/// Removals must not be remembered for good: a fleet replaces its VMs again and again.
+#[test]
+fn removal_is_remembered_for_a_time() {
+    let mut peers = peers();
+    peers.record_removed("d1", 100);
+    peers.forget_removed(&BTreeSet::new(), KEPT_MS);
+    peers.update_record(record("d1"), RecordSource::Peer, KEPT_MS);
+    assert!(!is_listed(&peers));
+    peers.forget_removed(&BTreeSet::new(), KEPT_MS + 100);
+    peers.update_record(record("d1"), RecordSource::Peer, KEPT_MS + 100);
+    assert!(is_listed(&peers));
+}
--- a/crates/daemon/src/mesh/outgoing_links.rs
+++ b/crates/daemon/src/mesh/outgoing_links.rs
@@ -52,7 +52,7 @@
                 link.frames.close();
             }
         }
-        mesh.peers.borrow_mut().forget_removed(&wanted);
+        mesh.peers.borrow_mut().forget_removed(&wanted, mesh.now_ms());
         let due = mesh.peers.borrow_mut().take_due_dials(&wanted, mesh.now_ms());
         for record in due {
             if !mesh.links.outgoing.borrow().contains_key(&record.name) {
